--- /dev/null
+++ b/include/rhubarb/Members.h
@@ -0,0 +1,103 @@
+// The VMs of the system as one of them sees them: who is live, who leaves,
+// whom to send heartbeats, and which rows to pass on.
+#pragma once
+
+#include "rhubarb/Types.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rhubarb {
+
+// What a VM says of itself. Spread by heartbeats, own row and relayed rows.
+struct PoolSummary {
+  std::string m_Pool;
+  int m_Open = 0;    // Open slots of the servers that this VM owns.
+  int m_Free = 0;    // Free for grants at present.
+  int m_Waiting = 0; // Requests in the queue.
+};
+
+struct MemberReport {
+  std::string m_Vm;     // IP number of the VM; its identity.
+  std::string m_Domain; // Failure domain.
+  std::uint64_t m_Boot = 0;      // Start time of the agent, Unix milliseconds.
+  std::uint64_t m_Sequence = 0;  // Grows with each own heartbeat.
+  std::uint64_t m_EntryIncarnation = 0; // 0: no entry process runs.
+  bool m_Leaving = false;
+  std::uint64_t m_Revision = 0;       // Configuration in force.
+  std::uint64_t m_DirectoryIndex = 0; // Version of the VM and server list.
+  std::vector<PoolSummary> m_Pools;
+  std::vector<std::string> m_Adopted; // Homes it answers for (keyHome text).
+};
+
+struct MemberLimits {
+  Duration m_Interval = 500ms;   // Between heartbeats of one VM.
+  Duration m_SilentAfter = 2s;   // No news for this long: no new work.
+  int m_Fanout = 4;              // Heartbeats to members of the own domain.
+  int m_RelayedRows = 4;         // Rows passed on with each heartbeat.
+};
+
+enum class MemberState : std::uint8_t { Unheard, Live, Silent, Leaving };
+std::string_view memberStateName(MemberState Value);
+
+struct MemberRow {
+  MemberReport m_Report;
+  MemberState m_State = MemberState::Unheard;
+  Time m_LastHeard{0}; // Of this VM, directly or through others.
+  Time m_LastRelayed{0};
+};
+
+// A row to pass on and how old its news is.
+struct RelayedReport {
+  MemberReport m_Report;
+  Duration m_Age{0};
+};
+
+// Table of the listed VMs. The list seeds and removes rows; silence alone only
+// excludes a VM from new work, and ends with the next heartbeat.
+class MemberTable {
+public:
+  struct Listing {
+    std::string m_Vm;
+    std::string m_Domain;
+    bool m_Leaving = false;
+  };
+
+  MemberTable(std::string SelfVm, std::string SelfDomain, MemberLimits Limits);
+
+  // Replaces the list. Rows of VMs that are no longer listed are dropped.
+  void setListing(const std::vector<Listing> &Rows, Time Now);
+  // Takes in a report that is Age old. Returns false for old news.
+  bool observe(const MemberReport &Report, Duration Age, Time Now);
+  // Sets this VM's own report.
+  void setSelf(const MemberReport &Report, Time Now);
+  // Recomputes states. Returns true when one has changed.
+  bool tick(Time Now);
+
+  // VMs that get this VM's next heartbeat: ring successors in its own domain,
+  // and one VM of each other domain that this VM speaks to. Cost: rows.
+  std::vector<std::string> contacts(std::uint64_t Round) const;
+  // The rows to pass on next: those that have waited longest.
+  std::vector<RelayedReport> rowsToRelay(Time Now);
+  // Whether this VM is one of the few of its domain that watch the store.
+  bool watchesStore(int Watchers) const;
+  // VMs of one domain that can own servers and take new work, sorted.
+  std::vector<std::string> liveMembers(std::string_view Domain) const;
+
+  const MemberRow *find(const std::string &Vm) const;
+  const std::vector<MemberRow> &rows() const { return m_Rows; }
+  const std::string &self() const { return m_Self; }
+  const std::string &selfDomain() const { return m_SelfDomain; }
+
+private:
+  MemberRow *findMutable(const std::string &Vm);
+  std::string speakerFor(const std::string &OtherDomain) const;
+
+  std::string m_Self;
+  std::string m_SelfDomain;
+  MemberLimits m_Limits;
+  std::vector<MemberRow> m_Rows;
+};
+
+} // namespace rhubarb
--- /dev/null
+++ b/include/rhubarb/Queue.h
@@ -0,0 +1,142 @@
+// The queue of one pool at one entry process: rank first, floors below, worth
+// within a rank, and refusal at once of what cannot be served in time.
+#pragma once
+
+#include "rhubarb/Errors.h"
+#include "rhubarb/Types.h"
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace rhubarb {
+
+using RequestId = std::uint64_t;
+
+// How the requests of one profile are queued.
+struct QueueProfile {
+  Rank m_Rank = Rank::Normal;
+  int m_Worth = 1;
+  double m_Floor = 0; // Share of capacity kept in a flood, 0 to 1.
+};
+
+struct QueueLimits {
+  std::size_t m_MaxWaiting = 4096;
+  double m_DeadlineShare = 0.8;    // Share of the deadline that may be planned.
+  Duration m_ServiceGuess = 50ms;  // Until the first measurement.
+  double m_SlowWorkRatio = 4.0;    // Ratio of service times that reserves slots.
+  Duration m_MaxRetryAfter = 5s;
+};
+
+// Answer to an offered request.
+struct QueueVerdict {
+  ErrorKind m_Error = ErrorKind::None; // None: the request waits.
+  Duration m_PredictedWait{0};
+  Duration m_RetryAfter{0}; // With an error: when to come back.
+};
+
+// A request that leaves the queue for a slot.
+struct QueuedRequest {
+  RequestId m_Id = 0;
+  int m_Profile = 0;
+  Rank m_Rank = Rank::Normal;
+  Duration m_Waited{0};
+};
+
+// Queues of one pool. Rows live in a table that is reused: once it has grown
+// to its working size, no call allocates.
+class RankQueue {
+public:
+  explicit RankQueue(QueueLimits Limits, std::uint64_t Seed = 1);
+
+  // Sets the profiles; indexes are those of the configuration. Waiting
+  // requests stay with their profile index.
+  void setProfiles(std::span<const QueueProfile> Profiles);
+  // Sets the slots that this queue can fill at present.
+  void setCapacity(int Slots) { m_Capacity = Slots; }
+
+  // Queues a request or refuses it at once.
+  QueueVerdict offer(RequestId Id, int Profile, Time Now, Time Deadline);
+  // Takes the request to serve next, if FreeSlots and the reserve allow one.
+  std::optional<QueuedRequest> take(int FreeSlots, Time Now);
+  // Like take, for requests that may leave the failure domain: only profiles
+  // whose index is set in Allowed.
+  std::optional<QueuedRequest> takeAllowed(int FreeSlots, Time Now,
+                                           const std::vector<bool> &Allowed);
+  // Puts a taken request back at the head of its profile.
+  void putBack(const QueuedRequest &Request, Time Now, Time Deadline);
+  // Records that a taken request has left its slot after Held.
+  void finished(Rank Value, Duration Held);
+  // Removes every request that can no longer be served by its deadline and
+  // reports each one. Cost: rows waiting.
+  void expire(Time Now, const std::function<void(RequestId)> &Expired);
+  // Removes one request. Returns false when it is not waiting.
+  bool remove(RequestId Id);
+  // Ages the measured rates. Call at a steady pace.
+  void tick(Time Now);
+
+  int waiting() const { return m_WaitingTotal; }
+  int waiting(Rank Value) const { return m_Waiting[rankIndex(Value)]; }
+  int running(Rank Value) const { return m_Running[rankIndex(Value)]; }
+  // Returns the most urgent rank with a waiting request.
+  std::optional<Rank> firstWaitingRank() const;
+  Duration meanService(Rank Value) const;
+  // Returns the slots that lower ranks leave free for the urgent rank.
+  int urgentReserve() const;
+  // Returns the wait that an arrival of this rank would meet.
+  Duration predictWait(Rank Value) const;
+
+private:
+  static constexpr std::uint32_t NoRow = UINT32_MAX;
+
+  struct Row {
+    RequestId m_Id = 0;
+    int m_Profile = 0;
+    Time m_Enqueued{0};
+    Time m_Deadline{0};
+    std::uint32_t m_Next = NoRow;
+    std::uint32_t m_Previous = NoRow;
+  };
+
+  struct ProfileQueue {
+    QueueProfile m_Settings;
+    std::uint32_t m_Head = NoRow;
+    std::uint32_t m_Tail = NoRow;
+    int m_Waiting = 0;
+    double m_Served = 0; // Served work over worth; the least goes next.
+  };
+
+  std::uint32_t newRow();
+  void link(std::uint32_t Index, bool AtHead);
+  void unlink(std::uint32_t Index);
+  bool rankMayStart(Rank Value, int FreeSlots) const;
+  int chooseProfile(Rank Value, const std::vector<bool> *Allowed) const;
+  std::optional<Rank> chooseRank(int FreeSlots,
+                                 const std::vector<bool> *Allowed) const;
+  std::optional<QueuedRequest> takeFrom(int FreeSlots, Time Now,
+                                        const std::vector<bool> *Allowed);
+  void chargeFloors(Rank Served);
+  double shareOf(Rank Value) const;
+  Duration jitteredRetry(Duration Wait);
+
+  QueueLimits m_Limits;
+  Random m_Random;
+  int m_Capacity = 0;
+  int m_WaitingTotal = 0;
+  std::array<int, RankCount> m_Waiting{};
+  std::array<int, RankCount> m_Running{};
+  std::array<double, RankCount> m_Floor{};  // Sum of the profiles' floors.
+  std::array<double, RankCount> m_Credit{}; // Slot time owed, microseconds.
+  std::array<double, RankCount> m_ServiceUs{};
+  std::array<bool, RankCount> m_Measured{};
+  std::array<double, RankCount> m_StartedUs{}; // Slot time started this window.
+  std::array<double, RankCount> m_Use{};       // Share of capacity, smoothed.
+  Time m_WindowStart{0};
+  std::vector<Row> m_Rows;
+  std::vector<std::uint32_t> m_Free;
+  std::vector<ProfileQueue> m_Profiles;
+};
+
+} // namespace rhubarb
--- /dev/null
+++ b/include/rhubarb/Retry.h
@@ -0,0 +1,28 @@
+// The retry budget of one service: retries stay a small share of first tries.
+#pragma once
+
+#include <cstdint>
+
+namespace rhubarb {
+
+struct RetryLimits {
+  double m_Share = 0.1;     // Retries per first try.
+  double m_MaxSaved = 10.0; // Retries that a quiet time can save up.
+};
+
+// Token bucket filled by first tries, emptied by retries.
+class RetryBudget {
+public:
+  explicit RetryBudget(RetryLimits Limits = {}) : m_Limits(Limits) {}
+
+  // Records a first try.
+  void firstTry();
+  // Takes one retry from the budget. False: give up now.
+  bool tryRetry();
+
+private:
+  RetryLimits m_Limits;
+  double m_Tokens = 0;
+};
+
+} // namespace rhubarb
--- /dev/null
+++ b/include/rhubarb/Servers.h
@@ -0,0 +1,107 @@
+// Backend servers as one entry process sees them: who owns each one, how many
+// of its slots are open, and which one takes the next request.
+#pragma once
+
+#include "rhubarb/Types.h"
+
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rhubarb {
+
+// Chooses the owner of a backend server among the live entry processes of its
+// failure domain (rendezvous hashing): every process with the same members
+// comes to the same owner, and a lost member moves only its own servers.
+// Returns an index into Members, or -1 when there are none.
+int chooseOwner(std::string_view ServerAddress,
+                std::span<const std::string> Members);
+
+struct ServerLimits {
+  Duration m_OwnerTerm = 2s;     // A previous owner has stopped after this.
+  Duration m_OpenStep = 250ms;   // Open slots double at this pace.
+  Duration m_EjectFirst = 500ms; // First ejection; doubles up to the next.
+  Duration m_EjectMax = 10s;
+  int m_EjectAfterFailures = 3;
+  double m_MaxEjectedShare = 0.34; // A floor of servers is always kept.
+};
+
+// A backend server as the directory lists it.
+struct ServerListing {
+  std::string m_Address;
+  int m_Pool = 0;
+  int m_Slots = 1;
+  bool m_Leaving = false;
+};
+
+using ServerIndex = int;
+inline constexpr ServerIndex NoServer = -1;
+
+// How an attempt on a server ended.
+enum class AttemptEnd : std::uint8_t { Answered, Shed, Failed };
+
+struct ServerRow {
+  ServerListing m_Listing;
+  bool m_Present = false; // Listed and owned by this process.
+  int m_Open = 1;         // Slots in use at most.
+  int m_Busy = 0;
+  int m_Failures = 0; // In a row.
+  Time m_OwnedSince{0};
+  Time m_LastStep{0};
+  Time m_EjectedUntil{0};
+  Duration m_Ejection{0};
+  int m_FreePosition = -1; // Place in the list of servers with a free slot.
+  int m_FreeCounted = 0;   // Free slots that the pool's sum holds for this row.
+};
+
+// The servers that this process owns.
+class BackendServerTable {
+public:
+  explicit BackendServerTable(ServerLimits Limits, std::uint64_t Seed = 1);
+
+  // Sets the owned servers. New ones start with one open slot; missing and
+  // leaving ones get no new work from this call on.
+  void update(std::span<const ServerListing> Owned, Time Now);
+  // Opens slots, ends ejections. Cost: rows.
+  void tick(Time Now);
+  // Takes a free slot of a pool, or returns NoServer.
+  ServerIndex acquire(int Pool);
+  // Gives a slot back and learns from the end of the attempt.
+  void release(ServerIndex Index, AttemptEnd End, Time Now);
+  // Starts over with one open slot each, as after a freeze of the process.
+  void reopenSlowly(Time Now);
+
+  // Slots of a pool that new work can use now, free or busy.
+  int openSlots(int Pool) const;
+  int busySlots(int Pool) const;
+  int freeSlots(int Pool) const;
+  const ServerRow &row(ServerIndex Index) const {
+    return m_Rows[static_cast<std::size_t>(Index)];
+  }
+  const std::vector<ServerRow> &rows() const { return m_Rows; }
+
+private:
+  struct PoolRow {
+    int m_Open = 0;
+    int m_Busy = 0;
+    int m_Servers = 0;
+    int m_Ejected = 0;
+    int m_FreeSlots = 0;
+    std::vector<ServerIndex> m_Free;
+  };
+
+  PoolRow &poolOf(int Pool);
+  bool usable(const ServerRow &Row) const;
+  void refresh(ServerIndex Index);
+  void recount(int Pool);
+  ServerIndex findOrAdd(const std::string &Address);
+
+  ServerLimits m_Limits;
+  Random m_Random;
+  std::vector<ServerRow> m_Rows;
+  std::unordered_map<std::string, ServerIndex> m_ByAddress;
+  std::vector<PoolRow> m_Pools;
+};
+
+} // namespace rhubarb
--- /dev/null
+++ b/lib/Keys.cpp
@@ -0,0 +1,284 @@
+#include "rhubarb/Keys.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace rhubarb {
+namespace {
+
+constexpr std::size_t MaxIdLength = 64;
+constexpr std::size_t MaxKeyLength = 256;
+constexpr int HexBase = 16;
+
+std::string hexText(std::uint64_t Value) {
+  std::array<char, 16> Buffer{};
+  auto [End, Error] =
+      std::to_chars(Buffer.data(), Buffer.data() + Buffer.size(), Value, HexBase);
+  return {Buffer.data(), End};
+}
+
+template <typename T> bool readHex(std::string_view Text, T &Value) {
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] = std::from_chars(Text.data(), End, Value, HexBase);
+  return Error == std::errc() && Stop == End && !Text.empty();
+}
+
+// Returns the part up to the next separator and moves Rest past it.
+std::string_view takePart(std::string_view &Rest, char Separator) {
+  std::size_t At = Rest.find(Separator);
+  std::string_view Part = Rest.substr(0, At);
+  Rest = At == std::string_view::npos ? std::string_view()
+                                      : Rest.substr(At + 1);
+  return Part;
+}
+
+bool isIdText(std::string_view Text) {
+  auto Allowed = [](char C) {
+    return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
+           (C >= 'A' && C <= 'Z') || C == '_' || C == '-';
+  };
+  return !Text.empty() && Text.size() <= MaxIdLength &&
+         std::all_of(Text.begin(), Text.end(), Allowed);
+}
+
+Fault malformed(const char *Text) { return {ErrorKind::KeyMalformed, Text}; }
+
+} // namespace
+
+std::string keyHomePayload(const HomeId &Home, std::int64_t IssuedMs) {
+  return hexText(Home.m_Ip) + "-" + hexText(Home.m_Port) + "-" +
+         hexText(Home.m_Incarnation) + "." +
+         hexText(static_cast<std::uint64_t>(IssuedMs));
+}
+
+std::string keyHomeText(const KeyHome &Home) {
+  return keyHomePayload(Home.m_Home, Home.m_IssuedMs) + "." + Home.m_Signature;
+}
+
+std::string RequestKey::text() const { return keyHomeText(m_Home) + "." + m_Id; }
+
+Result<KeyHome> parseKeyHome(std::string_view Text) {
+  if (Text.size() > MaxKeyLength)
+    return malformed("key is longer than 256 characters");
+  KeyHome Home;
+  std::string_view Address = takePart(Text, '.');
+  std::string_view Issued = takePart(Text, '.');
+  std::string_view Ip = takePart(Address, '-');
+  std::string_view Port = takePart(Address, '-');
+  std::uint64_t IssuedMs = 0;
+  if (!readHex(Ip, Home.m_Home.m_Ip) || !readHex(Port, Home.m_Home.m_Port) ||
+      !readHex(Address, Home.m_Home.m_Incarnation) || !readHex(Issued, IssuedMs))
+    return malformed("key is not home.issued.signature.id");
+  Home.m_IssuedMs = static_cast<std::int64_t>(IssuedMs);
+  Home.m_Signature = Text;
+  if (!isIdText(Text))
+    return malformed("key has no signature");
+  return Home;
+}
+
+Result<RequestKey> parseKey(std::string_view Text) {
+  std::size_t LastDot = Text.rfind('.');
+  if (LastDot == std::string_view::npos)
+    return malformed("key is not home.issued.signature.id");
+  std::string_view Id = Text.substr(LastDot + 1);
+  if (!isIdText(Id))
+    return malformed("key id takes 1 to 64 of 0-9, A-Z, a-z, _ and -");
+  Result<KeyHome> Home = parseKeyHome(Text.substr(0, LastDot));
+  if (!Home)
+    return Home.error();
+  return RequestKey{Home.value(), std::string(Id)};
+}
+
+std::size_t Answer::bytes() const {
+  std::size_t Sum = sizeof(Answer) + m_Body.size() + m_Detail.size();
+  for (const HeaderField &Field : m_Headers)
+    Sum += sizeof(HeaderField) + Field.m_Name.size() + Field.m_Value.size();
+  return Sum;
+}
+
+AnswerPtr makeErrorAnswer(ErrorKind Kind, std::string Detail,
+                          Duration RetryAfter) {
+  const ErrorRow &Row = errorRow(Kind);
+  auto Made = std::make_shared<Answer>();
+  Made->m_Status = Row.m_HttpStatus;
+  Made->m_Outcome = Row.m_Outcome;
+  Made->m_Error = Kind;
+  Made->m_Detail = Detail.empty() ? std::string(Row.m_Hint) : std::move(Detail);
+  constexpr Duration DefaultRetryAfter = 500ms;
+  if (Row.m_ComeBack)
+    Made->m_RetryAfter = RetryAfter.count() > 0 ? RetryAfter : DefaultRetryAfter;
+  return Made;
+}
+
+KeyTable::KeyTable(HomeId Self, KeyTableLimits Limits)
+    : m_Self(Self), m_Limits(Limits) {}
+
+KeyAdmission KeyTable::admit(const RequestKey &Key, std::uint64_t Fingerprint,
+                             std::int64_t NowMs) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  std::int64_t LifetimeMs = duration_cast<milliseconds>(m_Limits.m_Lifetime).count();
+  std::int64_t SkewMs = duration_cast<milliseconds>(m_Limits.m_ClockSkew).count();
+  std::int64_t ExpiresMs = Key.m_Home.m_IssuedMs + LifetimeMs;
+  if (Key.m_Home.m_IssuedMs > NowMs + SkewMs)
+    return refuse(ErrorKind::KeyForged);
+  if (NowMs >= ExpiresMs)
+    return refuse(ErrorKind::KeyExpired);
+  expire(NowMs);
+  std::string Text = Key.text();
+  auto Found = m_Rows.find(Text);
+  if (Found != m_Rows.end())
+    return admitKnown(Found->second, Fingerprint);
+  if (!answersFor(Key.m_Home.m_Home))
+    return refuse(ErrorKind::HomeGone);
+  if (m_Closed)
+    return refuse(ErrorKind::Leaving);
+  if (m_Rows.size() >= m_Limits.m_MaxKeys ||
+      m_AnswerBytes >= m_Limits.m_MaxAnswerBytes)
+    return refuse(ErrorKind::KeyTableFull);
+  Row &Added = m_Rows[Text];
+  Added.m_Fingerprint = Fingerprint;
+  Added.m_ExpiresMs = ExpiresMs;
+  m_ExpiryHeap.emplace_back(-ExpiresMs, std::move(Text));
+  std::push_heap(m_ExpiryHeap.begin(), m_ExpiryHeap.end());
+  return {KeyVerdict::Run, ErrorKind::None, {}};
+}
+
+KeyAdmission KeyTable::admitKnown(Row &Known, std::uint64_t Fingerprint) {
+  if (Known.m_Fingerprint != Fingerprint)
+    return refuse(ErrorKind::KeyReused);
+  switch (Known.m_State) {
+  case KeyState::Queued:
+  case KeyState::Sent:
+    return {KeyVerdict::Join, ErrorKind::None, {}};
+  case KeyState::NotRun:
+    if (m_Closed)
+      return {KeyVerdict::Replay, ErrorKind::None, Known.m_Answer};
+    Known.m_State = KeyState::Queued;
+    return {KeyVerdict::Run, ErrorKind::None, {}};
+  case KeyState::Answered:
+  case KeyState::Unknown:
+    break;
+  }
+  return {KeyVerdict::Replay, ErrorKind::None, Known.m_Answer};
+}
+
+bool KeyTable::markSent(const std::string &Key) {
+  auto Found = m_Rows.find(Key);
+  if (m_Retired || Found == m_Rows.end() ||
+      Found->second.m_State != KeyState::Queued)
+    return false;
+  Found->second.m_State = KeyState::Sent;
+  return true;
+}
+
+void KeyTable::markNotSent(const std::string &Key) {
+  auto Found = m_Rows.find(Key);
+  if (Found != m_Rows.end() && Found->second.m_State == KeyState::Sent)
+    Found->second.m_State = KeyState::Queued;
+}
+
+void KeyTable::storeAnswer(Row &Target, AnswerPtr Result) {
+  if (Target.m_Answer)
+    m_AnswerBytes -= Target.m_Answer->bytes();
+  m_AnswerBytes += Result->bytes();
+  Target.m_Answer = std::move(Result);
+}
+
+void KeyTable::finish(const std::string &Key, AnswerPtr Result) {
+  auto Found = m_Rows.find(Key);
+  if (Found == m_Rows.end())
+    return;
+  Row &Target = Found->second;
+  switch (Result->m_Outcome) {
+  case Outcome::Answered:
+    Target.m_State = KeyState::Answered;
+    break;
+  case Outcome::NotRun:
+    Target.m_State = KeyState::NotRun;
+    break;
+  case Outcome::Unknown:
+    Target.m_State = KeyState::Unknown;
+    break;
+  }
+  storeAnswer(Target, Result);
+  std::vector<std::function<void(AnswerPtr)>> Joined;
+  Joined.swap(Target.m_Joined);
+  for (auto &Done : Joined)
+    Done(Result);
+}
+
+void KeyTable::join(const std::string &Key, std::function<void(AnswerPtr)> Done) {
+  auto Found = m_Rows.find(Key);
+  if (Found == m_Rows.end() || (Found->second.m_State != KeyState::Queued &&
+                                Found->second.m_State != KeyState::Sent)) {
+    Done(makeErrorAnswer(ErrorKind::Internal, "no attempt to join"));
+    return;
+  }
+  Found->second.m_Joined.push_back(std::move(Done));
+}
+
+void KeyTable::expire(std::int64_t NowMs) {
+  while (!m_ExpiryHeap.empty() && -m_ExpiryHeap.front().first <= NowMs) {
+    std::pop_heap(m_ExpiryHeap.begin(), m_ExpiryHeap.end());
+    auto Found = m_Rows.find(m_ExpiryHeap.back().second);
+    m_ExpiryHeap.pop_back();
+    if (Found == m_Rows.end())
+      continue;
+    Row &Expired = Found->second;
+    if (Expired.m_Answer)
+      m_AnswerBytes -= Expired.m_Answer->bytes();
+    auto Joined = std::move(Expired.m_Joined);
+    m_Rows.erase(Found);
+    for (auto &Done : Joined)
+      Done(makeErrorAnswer(ErrorKind::KeyExpired));
+  }
+}
+
+std::vector<KeyHandoverRow> KeyTable::retire() {
+  m_Closed = true;
+  m_Retired = true;
+  std::vector<KeyHandoverRow> Rows;
+  Rows.reserve(m_Rows.size());
+  for (auto &[Key, Value] : m_Rows) {
+    bool UnderWay =
+        Value.m_State == KeyState::Queued || Value.m_State == KeyState::Sent;
+    AnswerPtr Final =
+        UnderWay ? makeErrorAnswer(ErrorKind::HomeGone) : Value.m_Answer;
+    Rows.push_back({Key, Value.m_Fingerprint, Value.m_ExpiresMs,
+                    UnderWay ? KeyState::Unknown : Value.m_State, Final});
+  }
+  return Rows;
+}
+
+void KeyTable::adopt(const std::vector<HomeId> &Retired,
+                     const std::vector<KeyHandoverRow> &Rows) {
+  for (const HomeId &Home : Retired)
+    if (!answersFor(Home))
+      m_Adopted.push_back(Home);
+  for (const KeyHandoverRow &Source : Rows) {
+    if (m_Rows.contains(Source.m_Key) || !Source.m_Answer)
+      continue;
+    Row &Target = m_Rows[Source.m_Key];
+    Target.m_State = Source.m_State;
+    Target.m_Fingerprint = Source.m_Fingerprint;
+    Target.m_ExpiresMs = Source.m_ExpiresMs;
+    storeAnswer(Target, Source.m_Answer);
+    m_ExpiryHeap.emplace_back(-Source.m_ExpiresMs, Source.m_Key);
+    std::push_heap(m_ExpiryHeap.begin(), m_ExpiryHeap.end());
+  }
+}
+
+std::vector<HomeId> KeyTable::homes() const {
+  std::vector<HomeId> Homes = m_Adopted;
+  Homes.push_back(m_Self);
+  return Homes;
+}
+
+bool KeyTable::answersFor(const HomeId &Home) const {
+  return Home == m_Self ||
+         std::find(m_Adopted.begin(), m_Adopted.end(), Home) != m_Adopted.end();
+}
+
+} // namespace rhubarb
--- /dev/null
+++ b/lib/Lookup.cpp
@@ -0,0 +1,215 @@
+#include "rhubarb/Lookup.h"
+
+#include <algorithm>
+
+namespace rhubarb {
+namespace {
+
+constexpr std::uint32_t UpperShift = 16;
+constexpr std::size_t UpperCount = 1U << UpperShift;
+constexpr double SmallestShare = 0.001;
+
+std::uint64_t lastAddress(const ClientBlock &Block) {
+  std::uint64_t Size = 1ULL << (32U - Block.m_Length);
+  return (Block.m_Address & ~(Size - 1)) + Size - 1;
+}
+
+std::uint32_t firstAddress(const ClientBlock &Block) {
+  std::uint64_t Size = 1ULL << (32U - Block.m_Length);
+  return static_cast<std::uint32_t>(Block.m_Address & ~(Size - 1));
+}
+
+// A block that is open while the blocks are swept in address order.
+struct OpenBlock {
+  std::uint64_t m_Last;
+  std::uint16_t m_Site;
+};
+
+} // namespace
+
+void BlockTable::build(std::vector<ClientBlock> Blocks) {
+  std::stable_sort(Blocks.begin(), Blocks.end(),
+                   [](const ClientBlock &A, const ClientBlock &B) {
+                     if (firstAddress(A) != firstAddress(B))
+                       return firstAddress(A) < firstAddress(B);
+                     return A.m_Length < B.m_Length;
+                   });
+  m_Starts.assign(1, 0);
+  m_Sites.assign(1, NoSite);
+  auto StartRange = [&](std::uint64_t At, std::uint16_t Site) {
+    if (At > UINT32_MAX)
+      return;
+    if (m_Starts.back() == At) {
+      m_Sites.back() = Site;
+    } else if (m_Sites.back() != Site) {
+      m_Starts.push_back(static_cast<std::uint32_t>(At));
+      m_Sites.push_back(Site);
+    }
+  };
+  std::vector<OpenBlock> Open;
+  auto CloseUpTo = [&](std::uint64_t Before) {
+    while (!Open.empty() && Open.back().m_Last < Before) {
+      std::uint64_t Next = Open.back().m_Last + 1;
+      Open.pop_back();
+      StartRange(Next, Open.empty() ? NoSite : Open.back().m_Site);
+    }
+  };
+  for (const ClientBlock &Block : Blocks) {
+    CloseUpTo(firstAddress(Block));
+    StartRange(firstAddress(Block), Block.m_Site);
+    Open.push_back({lastAddress(Block), Block.m_Site});
+  }
+  CloseUpTo(UINT64_MAX);
+  m_Starts.shrink_to_fit();
+  m_Sites.shrink_to_fit();
+  m_Index.assign(UpperCount + 1, 0);
+  std::size_t Range = 0;
+  for (std::size_t Upper = 0; Upper < UpperCount; ++Upper) {
+    auto Address = static_cast<std::uint32_t>(Upper << UpperShift);
+    while (Range + 1 < m_Starts.size() && m_Starts[Range + 1] <= Address)
+      ++Range;
+    m_Index[Upper] = static_cast<std::uint32_t>(Range);
+  }
+  m_Index[UpperCount] = static_cast<std::uint32_t>(m_Starts.size() - 1);
+}
+
+std::uint16_t BlockTable::find(std::uint32_t Address) const {
+  if (m_Starts.empty())
+    return NoSite;
+  std::size_t Upper = Address >> UpperShift;
+  auto Begin = m_Starts.begin() + m_Index[Upper];
+  auto End = m_Starts.begin() + m_Index[Upper + 1] + 1;
+  auto After = std::upper_bound(Begin, End, Address);
+  return m_Sites[static_cast<std::size_t>(After - m_Starts.begin() - 1)];
+}
+
+std::size_t BlockTable::bytes() const {
+  return m_Starts.capacity() * sizeof(m_Starts[0]) +
+         m_Sites.capacity() * sizeof(m_Sites[0]) +
+         m_Index.capacity() * sizeof(m_Index[0]);
+}
+
+// Moves up to Step of the callers from Home to domains with headroom, those of
+// the same region first.
+void SteeringTable::moveAway(const DomainLoad &Home,
+                             const std::vector<DomainLoad> &Loads,
+                             DomainShares &Shares, double Step, bool Forced) {
+  double Left = std::min(Step, Shares[Home.m_Domain]);
+  for (bool SameRegion : {true, false}) {
+    double Headroom = 0;
+    for (const DomainLoad &Other : Loads)
+      if (Other.m_Domain != Home.m_Domain && Other.m_Reachable &&
+          (Other.m_Region == Home.m_Region) == SameRegion &&
+          (Forced || Other.m_Use < m_Limits.m_LowUse))
+        Headroom += Other.m_Headroom + (Forced ? SmallestShare : 0);
+    if (Headroom <= 0)
+      continue;
+    // A step may fill a part of the headroom only; one slot is counted as one
+    // percent of the callers until the next load report corrects it.
+    double Cap = Forced ? Left : Headroom * m_Limits.m_FarShare * 0.01;
+    double Moved = std::min(Left, Cap);
+    for (const DomainLoad &Other : Loads)
+      if (Other.m_Domain != Home.m_Domain && Other.m_Reachable &&
+          (Other.m_Region == Home.m_Region) == SameRegion &&
+          (Forced || Other.m_Use < m_Limits.m_LowUse)) {
+        double Weight =
+            (Other.m_Headroom + (Forced ? SmallestShare : 0)) / Headroom;
+        Shares[Other.m_Domain] += Moved * Weight;
+      }
+    Shares[Home.m_Domain] -= Moved;
+    Left -= Moved;
+    if (Left <= 0)
+      return;
+  }
+}
+
+void SteeringTable::step(const std::vector<DomainLoad> &Loads) {
+  for (const DomainLoad &Home : Loads) {
+    DomainShares &Shares = m_Shares[Home.m_Domain];
+    if (Shares.empty())
+      Shares[Home.m_Domain] = 1.0;
+    // Callers of a domain that cannot be reached are moved at once: they would
+    // fail otherwise.
+    for (const DomainLoad &Other : Loads) {
+      auto Found = Shares.find(Other.m_Domain);
+      if (Other.m_Reachable || Found == Shares.end() || Found->second <= 0 ||
+          Other.m_Domain == Home.m_Domain)
+        continue;
+      Shares[Home.m_Domain] += Found->second;
+      Shares.erase(Found);
+    }
+    if (!Home.m_Reachable) {
+      moveAway(Home, Loads, Shares, 1.0, true);
+    } else if (Home.m_Use > m_Limits.m_HighUse) {
+      moveAway(Home, Loads, Shares, m_Limits.m_StepShare, false);
+    } else if (Home.m_Use < m_Limits.m_LowUse &&
+               Shares[Home.m_Domain] < 1.0) {
+      double Away = 1.0 - Shares[Home.m_Domain];
+      double Back = std::min(Away, m_Limits.m_StepShare);
+      for (auto &[Domain, Share] : Shares)
+        if (Domain != Home.m_Domain)
+          Share -= Share / Away * Back;
+      Shares[Home.m_Domain] += Back;
+    }
+    std::erase_if(Shares, [&](const auto &Entry) {
+      return Entry.first != Home.m_Domain && Entry.second < SmallestShare / 100;
+    });
+  }
+}
+
+const DomainShares &SteeringTable::sharesOf(const std::string &Home) const {
+  static const DomainShares Empty;
+  auto Found = m_Shares.find(Home);
+  return Found == m_Shares.end() ? Empty : Found->second;
+}
+
+std::vector<EntryChoice>
+orderEntries(std::uint64_t CallerHash, const std::string &HomeDomain,
+             const std::string &HomeRegion, const DomainShares &Shares,
+             const std::vector<EntryChoice> &Entries,
+             const std::map<std::string, std::string> &RegionOf) {
+  // The caller's place in [0, 1) picks its domain. The home domain comes first
+  // in the line, so a step moves only the callers at its end.
+  double Place = static_cast<double>(CallerHash >> 11U) / 9007199254740992.0;
+  std::string First = HomeDomain;
+  auto Own = Shares.find(HomeDomain);
+  double Sum = Own == Shares.end() ? 0 : Own->second;
+  if (Place >= Sum)
+    for (const auto &[Domain, Share] : Shares) {
+      if (Domain == HomeDomain)
+        continue;
+      Sum += Share;
+      First = Domain;
+      if (Place < Sum)
+        break;
+    }
+  auto Group = [&](const EntryChoice &Entry) {
+    if (Entry.m_Domain == First)
+      return 0;
+    if (Entry.m_Domain == HomeDomain)
+      return 1;
+    auto Region = RegionOf.find(Entry.m_Domain);
+    return Region != RegionOf.end() && Region->second == HomeRegion ? 2 : 3;
+  };
+  struct Scored {
+    int m_Group;
+    std::uint64_t m_Score;
+    const EntryChoice *m_Entry;
+  };
+  std::vector<Scored> Order;
+  Order.reserve(Entries.size());
+  for (const EntryChoice &Entry : Entries)
+    Order.push_back({Group(Entry), stableHash(Entry.m_Vm, CallerHash), &Entry});
+  std::sort(Order.begin(), Order.end(), [](const Scored &A, const Scored &B) {
+    if (A.m_Group != B.m_Group)
+      return A.m_Group < B.m_Group;
+    return A.m_Score > B.m_Score;
+  });
+  std::vector<EntryChoice> Result;
+  Result.reserve(Order.size());
+  for (const Scored &Row : Order)
+    Result.push_back(*Row.m_Entry);
+  return Result;
+}
+
+} // namespace rhubarb
--- /dev/null
+++ b/lib/Members.cpp
@@ -0,0 +1,191 @@
+#include "rhubarb/Members.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+namespace rhubarb {
+namespace {
+
+constexpr std::array<std::string_view, 4> StateNames{"unheard", "live",
+                                                     "silent", "leaving"};
+
+// Picks one name by rendezvous hashing; empty when there is none.
+std::string rendezvous(const std::vector<std::string> &Names,
+                       std::string_view Key) {
+  std::string Best;
+  std::uint64_t BestScore = 0;
+  std::uint64_t Seed = stableHash(Key);
+  for (const std::string &Name : Names) {
+    std::uint64_t Score = stableHash(Name, Seed);
+    if (Best.empty() || Score > BestScore) {
+      Best = Name;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+bool isNewer(const MemberReport &A, const MemberReport &B) {
+  if (A.m_Boot != B.m_Boot)
+    return A.m_Boot > B.m_Boot;
+  return A.m_Sequence > B.m_Sequence;
+}
+
+} // namespace
+
+std::string_view memberStateName(MemberState Value) {
+  return StateNames[static_cast<std::size_t>(Value)];
+}
+
+MemberTable::MemberTable(std::string SelfVm, std::string SelfDomain,
+                         MemberLimits Limits)
+    : m_Self(std::move(SelfVm)), m_SelfDomain(std::move(SelfDomain)),
+      m_Limits(Limits) {
+  MemberRow Own;
+  Own.m_Report.m_Vm = m_Self;
+  Own.m_Report.m_Domain = m_SelfDomain;
+  Own.m_State = MemberState::Live;
+  m_Rows.push_back(std::move(Own));
+}
+
+MemberRow *MemberTable::findMutable(const std::string &Vm) {
+  for (MemberRow &Row : m_Rows)
+    if (Row.m_Report.m_Vm == Vm)
+      return &Row;
+  return nullptr;
+}
+
+const MemberRow *MemberTable::find(const std::string &Vm) const {
+  for (const MemberRow &Row : m_Rows)
+    if (Row.m_Report.m_Vm == Vm)
+      return &Row;
+  return nullptr;
+}
+
+void MemberTable::setListing(const std::vector<Listing> &Rows, Time Now) {
+  std::set<std::string> Listed{m_Self};
+  for (const Listing &Entry : Rows) {
+    Listed.insert(Entry.m_Vm);
+    MemberRow *Row = findMutable(Entry.m_Vm);
+    if (Row == nullptr) {
+      MemberRow Added;
+      Added.m_Report.m_Vm = Entry.m_Vm;
+      Added.m_LastHeard = Now - m_Limits.m_SilentAfter;
+      m_Rows.push_back(std::move(Added));
+      Row = &m_Rows.back();
+    }
+    Row->m_Report.m_Domain = Entry.m_Domain;
+    if (Entry.m_Leaving && Entry.m_Vm != m_Self)
+      Row->m_Report.m_Leaving = true;
+  }
+  std::erase_if(m_Rows, [&](const MemberRow &Row) {
+    return !Listed.contains(Row.m_Report.m_Vm);
+  });
+}
+
+bool MemberTable::observe(const MemberReport &Report, Duration Age, Time Now) {
+  MemberRow *Row = findMutable(Report.m_Vm);
+  if (Row == nullptr || Report.m_Vm == m_Self ||
+      !isNewer(Report, Row->m_Report))
+    return false;
+  Row->m_Report = Report;
+  Row->m_LastHeard = std::max(Row->m_LastHeard, Now - Age);
+  return true;
+}
+
+void MemberTable::setSelf(const MemberReport &Report, Time Now) {
+  MemberRow *Row = findMutable(m_Self);
+  Row->m_Report = Report;
+  Row->m_LastHeard = Now;
+}
+
+bool MemberTable::tick(Time Now) {
+  bool Changed = false;
+  for (MemberRow &Row : m_Rows) {
+    MemberState State = MemberState::Live;
+    if (Row.m_Report.m_Leaving)
+      State = MemberState::Leaving;
+    else if (Row.m_Report.m_Vm != m_Self &&
+             Now - Row.m_LastHeard >= m_Limits.m_SilentAfter)
+      State = Row.m_Report.m_Sequence == 0 ? MemberState::Unheard
+                                           : MemberState::Silent;
+    Changed = Changed || State != Row.m_State;
+    Row.m_State = State;
+  }
+  return Changed;
+}
+
+std::vector<std::string>
+MemberTable::liveMembers(std::string_view Domain) const {
+  std::vector<std::string> Names;
+  for (const MemberRow &Row : m_Rows)
+    if (Row.m_Report.m_Domain == Domain && Row.m_State == MemberState::Live)
+      Names.push_back(Row.m_Report.m_Vm);
+  std::sort(Names.begin(), Names.end());
+  return Names;
+}
+
+std::string MemberTable::speakerFor(const std::string &OtherDomain) const {
+  return rendezvous(liveMembers(m_SelfDomain), OtherDomain);
+}
+
+std::vector<std::string> MemberTable::contacts(std::uint64_t Round) const {
+  std::map<std::string, std::vector<std::string>> ByDomain;
+  for (const MemberRow &Row : m_Rows)
+    if (Row.m_Report.m_Vm != m_Self)
+      ByDomain[Row.m_Report.m_Domain].push_back(Row.m_Report.m_Vm);
+  std::vector<std::string> Chosen;
+  for (auto &[Domain, Names] : ByDomain) {
+    std::sort(Names.begin(), Names.end());
+    if (Domain != m_SelfDomain) {
+      // The partner rotates, so that a dead VM there costs a few rounds only.
+      if (speakerFor(Domain) == m_Self)
+        Chosen.push_back(Names[Round % Names.size()]);
+      continue;
+    }
+    auto Next = std::upper_bound(Names.begin(), Names.end(), m_Self);
+    auto Start = static_cast<std::size_t>(Next - Names.begin());
+    auto Count = std::min<std::size_t>(static_cast<std::size_t>(m_Limits.m_Fanout),
+                                       Names.size());
+    // Rotating the start spreads news through a large domain in a few rounds.
+    if (Names.size() > Count)
+      Start += static_cast<std::size_t>(Round) * Count;
+    for (std::size_t I = 0; I < Count; ++I)
+      Chosen.push_back(Names[(Start + I) % Names.size()]);
+  }
+  return Chosen;
+}
+
+std::vector<RelayedReport> MemberTable::rowsToRelay(Time Now) {
+  std::vector<MemberRow *> Fresh;
+  for (MemberRow &Row : m_Rows)
+    if (Row.m_Report.m_Vm != m_Self && Row.m_Report.m_Sequence > 0 &&
+        Now - Row.m_LastHeard < m_Limits.m_SilentAfter)
+      Fresh.push_back(&Row);
+  auto Count = std::min<std::size_t>(
+      static_cast<std::size_t>(m_Limits.m_RelayedRows), Fresh.size());
+  std::partial_sort(Fresh.begin(),
+                    Fresh.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Fresh.end(), [](const MemberRow *A, const MemberRow *B) {
+                      return A->m_LastRelayed < B->m_LastRelayed;
+                    });
+  std::vector<RelayedReport> Chosen;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Fresh[I]->m_LastRelayed = Now;
+    Chosen.push_back({Fresh[I]->m_Report, Now - Fresh[I]->m_LastHeard});
+  }
+  return Chosen;
+}
+
+bool MemberTable::watchesStore(int Watchers) const {
+  std::uint64_t Own = stableHash(m_Self);
+  int Before = 0;
+  for (const std::string &Name : liveMembers(m_SelfDomain))
+    if (stableHash(Name) > Own)
+      ++Before;
+  return Before < Watchers;
+}
+
+} // namespace rhubarb
--- /dev/null
+++ b/lib/Queue.cpp
@@ -0,0 +1,317 @@
+#include "rhubarb/Queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rhubarb {
+namespace {
+
+constexpr double ServiceSmoothing = 0.1; // Weight of a new measurement.
+constexpr double UseSmoothing = 0.3;
+constexpr Duration UseWindow = 200ms;
+// Credit is capped so that an idle spell does not turn into a burst.
+constexpr double MaxCreditServices = 4.0;
+
+double toMicros(Duration Value) { return static_cast<double>(Value.count()); }
+
+Duration fromMicros(double Value) {
+  return Duration(static_cast<std::int64_t>(Value));
+}
+
+} // namespace
+
+RankQueue::RankQueue(QueueLimits Limits, std::uint64_t Seed)
+    : m_Limits(Limits), m_Random(Seed) {
+  m_ServiceUs.fill(toMicros(Limits.m_ServiceGuess));
+}
+
+void RankQueue::setProfiles(std::span<const QueueProfile> Profiles) {
+  if (m_Profiles.size() < Profiles.size())
+    m_Profiles.resize(Profiles.size());
+  m_Floor.fill(0);
+  for (std::size_t I = 0; I < Profiles.size(); ++I) {
+    Rank Old = m_Profiles[I].m_Settings.m_Rank;
+    Rank New = Profiles[I].m_Rank;
+    m_Waiting[rankIndex(Old)] -= m_Profiles[I].m_Waiting;
+    m_Waiting[rankIndex(New)] += m_Profiles[I].m_Waiting;
+    m_Profiles[I].m_Settings = Profiles[I];
+    m_Floor[rankIndex(New)] += Profiles[I].m_Floor;
+  }
+}
+
+std::uint32_t RankQueue::newRow() {
+  if (!m_Free.empty()) {
+    std::uint32_t Index = m_Free.back();
+    m_Free.pop_back();
+    return Index;
+  }
+  m_Rows.emplace_back();
+  m_Free.reserve(m_Rows.capacity());
+  return static_cast<std::uint32_t>(m_Rows.size() - 1);
+}
+
+void RankQueue::link(std::uint32_t Index, bool AtHead) {
+  Row &Added = m_Rows[Index];
+  ProfileQueue &Queue = m_Profiles[static_cast<std::size_t>(Added.m_Profile)];
+  Added.m_Next = AtHead ? Queue.m_Head : NoRow;
+  Added.m_Previous = AtHead ? NoRow : Queue.m_Tail;
+  if (Added.m_Next != NoRow)
+    m_Rows[Added.m_Next].m_Previous = Index;
+  if (Added.m_Previous != NoRow)
+    m_Rows[Added.m_Previous].m_Next = Index;
+  if (AtHead || Queue.m_Head == NoRow)
+    Queue.m_Head = Index;
+  if (!AtHead || Queue.m_Tail == NoRow)
+    Queue.m_Tail = Index;
+  ++Queue.m_Waiting;
+  ++m_Waiting[rankIndex(Queue.m_Settings.m_Rank)];
+  ++m_WaitingTotal;
+}
+
+void RankQueue::unlink(std::uint32_t Index) {
+  Row &Removed = m_Rows[Index];
+  ProfileQueue &Queue = m_Profiles[static_cast<std::size_t>(Removed.m_Profile)];
+  if (Removed.m_Previous != NoRow)
+    m_Rows[Removed.m_Previous].m_Next = Removed.m_Next;
+  else
+    Queue.m_Head = Removed.m_Next;
+  if (Removed.m_Next != NoRow)
+    m_Rows[Removed.m_Next].m_Previous = Removed.m_Previous;
+  else
+    Queue.m_Tail = Removed.m_Previous;
+  --Queue.m_Waiting;
+  --m_Waiting[rankIndex(Queue.m_Settings.m_Rank)];
+  --m_WaitingTotal;
+  m_Free.push_back(Index);
+}
+
+// Share of the capacity that a rank can count on: what higher ranks leave, and
+// never less than its floor.
+double RankQueue::shareOf(Rank Value) const {
+  double Left = 1.0;
+  for (std::size_t Higher = 0; Higher < rankIndex(Value); ++Higher)
+    Left -= m_Use[Higher];
+  for (std::size_t Lower = rankIndex(Value) + 1; Lower < RankCount; ++Lower)
+    if (m_Waiting[Lower] > 0)
+      Left -= m_Floor[Lower];
+  return std::max({Left, m_Floor[rankIndex(Value)], 0.001});
+}
+
+Duration RankQueue::predictWait(Rank Value) const {
+  if (m_Capacity <= 0)
+    return Duration::max();
+  std::size_t Index = rankIndex(Value);
+  int Busy = 0;
+  for (int Count : m_Running)
+    Busy += Count;
+  if (m_WaitingTotal == 0 && Busy < m_Capacity)
+    return Duration{0};
+  double Ahead = m_ServiceUs[Index] * (m_Waiting[Index] + 0.5);
+  return fromMicros(Ahead / (m_Capacity * shareOf(Value)));
+}
+
+Duration RankQueue::jitteredRetry(Duration Wait) {
+  double Base = std::min(toMicros(Wait), toMicros(m_Limits.m_MaxRetryAfter));
+  return fromMicros(std::max(Base, 50000.0) * (0.75 + 0.5 * m_Random.unit()));
+}
+
+QueueVerdict RankQueue::offer(RequestId Id, int Profile, Time Now,
+                              Time Deadline) {
+  const QueueProfile &Settings =
+      m_Profiles[static_cast<std::size_t>(Profile)].m_Settings;
+  Duration Wait = predictWait(Settings.m_Rank);
+  if (m_Capacity <= 0)
+    return {ErrorKind::NoCapacity, Wait, jitteredRetry(1s)};
+  if (m_Waiting[rankIndex(Settings.m_Rank)] >=
+      static_cast<int>(m_Limits.m_MaxWaiting))
+    return {ErrorKind::QueueFull, Wait, jitteredRetry(Wait)};
+  double Budget = toMicros(Deadline - Now) * m_Limits.m_DeadlineShare;
+  if (toMicros(Wait) + m_ServiceUs[rankIndex(Settings.m_Rank)] > Budget)
+    return {ErrorKind::WaitTooLong, Wait, jitteredRetry(Wait)};
+  std::uint32_t Index = newRow();
+  m_Rows[Index] = {Id, Profile, Now, Deadline, NoRow, NoRow};
+  link(Index, false);
+  return {ErrorKind::None, Wait, Duration{0}};
+}
+
+// Slots are held back for the urgent rank only when urgent work arrives and
+// lower work holds its slots much longer than urgent work does: then waiting
+// for the next free slot would dominate the urgent service time.
+int RankQueue::urgentReserve() const {
+  if (m_Capacity < 2 || m_Use[0] <= 0.001)
+    return 0;
+  double Slowest = 0;
+  for (std::size_t Lower = 1; Lower < RankCount; ++Lower)
+    if (m_Running[Lower] > 0)
+      Slowest = std::max(Slowest, m_ServiceUs[Lower]);
+  if (Slowest < m_Limits.m_SlowWorkRatio * m_ServiceUs[0])
+    return 0;
+  double Offered = m_Use[0] * m_Capacity;
+  int Wanted = static_cast<int>(std::ceil(Offered + std::sqrt(Offered)));
+  return std::clamp(Wanted, 1, m_Capacity / 2);
+}
+
+bool RankQueue::rankMayStart(Rank Value, int FreeSlots) const {
+  if (FreeSlots <= 0)
+    return false;
+  if (Value == Rank::Urgent)
+    return true;
+  int ReserveLeft = urgentReserve() - m_Running[0];
+  return FreeSlots > std::max(ReserveLeft, 0);
+}
+
+int RankQueue::chooseProfile(Rank Value,
+                             const std::vector<bool> *Allowed) const {
+  int Best = -1;
+  for (std::size_t I = 0; I < m_Profiles.size(); ++I) {
+    const ProfileQueue &Queue = m_Profiles[I];
+    if (Queue.m_Waiting == 0 || Queue.m_Settings.m_Rank != Value)
+      continue;
+    if (Allowed != nullptr && !(I < Allowed->size() && (*Allowed)[I]))
+      continue;
+    if (Best < 0 ||
+        Queue.m_Served < m_Profiles[static_cast<std::size_t>(Best)].m_Served)
+      Best = static_cast<int>(I);
+  }
+  return Best;
+}
+
+std::optional<Rank>
+RankQueue::chooseRank(int FreeSlots, const std::vector<bool> *Allowed) const {
+  std::optional<Rank> First;
+  for (std::size_t I = 0; I < RankCount; ++I) {
+    Rank Value = static_cast<Rank>(I);
+    if (m_Waiting[I] == 0 || !rankMayStart(Value, FreeSlots) ||
+        chooseProfile(Value, Allowed) < 0)
+      continue;
+    // A lower rank that is owed a whole service goes before a higher one.
+    if (First && m_Credit[I] >= m_ServiceUs[I])
+      return Value;
+    if (!First)
+      First = Value;
+  }
+  return First;
+}
+
+void RankQueue::chargeFloors(Rank Served) {
+  double Cost = m_ServiceUs[rankIndex(Served)];
+  for (std::size_t I = 0; I < RankCount; ++I) {
+    if (m_Waiting[I] == 0) {
+      m_Credit[I] = std::min(m_Credit[I], 0.0);
+      continue;
+    }
+    m_Credit[I] = std::min(m_Credit[I] + m_Floor[I] * Cost,
+                           MaxCreditServices * m_ServiceUs[I]);
+  }
+  double &Own = m_Credit[rankIndex(Served)];
+  Own = std::max(Own - Cost, -MaxCreditServices * Cost);
+  Own = std::min(Own, MaxCreditServices * Cost);
+}
+
+std::optional<QueuedRequest>
+RankQueue::takeFrom(int FreeSlots, Time Now, const std::vector<bool> *Allowed) {
+  if (m_WaitingTotal == 0)
+    return std::nullopt;
+  std::optional<Rank> Value = chooseRank(FreeSlots, Allowed);
+  if (!Value)
+    return std::nullopt;
+  int Profile = chooseProfile(*Value, Allowed);
+  ProfileQueue &Queue = m_Profiles[static_cast<std::size_t>(Profile)];
+  std::uint32_t Index = Queue.m_Head;
+  QueuedRequest Taken{m_Rows[Index].m_Id, Profile, *Value,
+                      Now - m_Rows[Index].m_Enqueued};
+  unlink(Index);
+  double Cost = m_ServiceUs[rankIndex(*Value)];
+  Queue.m_Served += Cost / Queue.m_Settings.m_Worth;
+  m_StartedUs[rankIndex(*Value)] += Cost;
+  ++m_Running[rankIndex(*Value)];
+  chargeFloors(*Value);
+  return Taken;
+}
+
+std::optional<QueuedRequest> RankQueue::take(int FreeSlots, Time Now) {
+  return takeFrom(FreeSlots, Now, nullptr);
+}
+
+std::optional<QueuedRequest>
+RankQueue::takeAllowed(int FreeSlots, Time Now,
+                       const std::vector<bool> &Allowed) {
+  return takeFrom(FreeSlots, Now, &Allowed);
+}
+
+void RankQueue::putBack(const QueuedRequest &Request, Time Now, Time Deadline) {
+  std::uint32_t Index = newRow();
+  m_Rows[Index] = {Request.m_Id, Request.m_Profile, Now - Request.m_Waited,
+                   Deadline, NoRow, NoRow};
+  link(Index, true);
+  --m_Running[rankIndex(Request.m_Rank)];
+}
+
+void RankQueue::finished(Rank Value, Duration Held) {
+  std::size_t Index = rankIndex(Value);
+  --m_Running[Index];
+  double Weight = m_Measured[Index] ? ServiceSmoothing : 0.5;
+  m_Measured[Index] = true;
+  m_ServiceUs[Index] += Weight * (toMicros(Held) - m_ServiceUs[Index]);
+}
+
+void RankQueue::expire(Time Now,
+                       const std::function<void(RequestId)> &Expired) {
+  for (ProfileQueue &Queue : m_Profiles)
+    for (std::uint32_t Index = Queue.m_Head; Index != NoRow;) {
+      std::uint32_t Next = m_Rows[Index].m_Next;
+      double Service = m_ServiceUs[rankIndex(Queue.m_Settings.m_Rank)];
+      if (Now + fromMicros(Service * 0.5) >= m_Rows[Index].m_Deadline) {
+        RequestId Id = m_Rows[Index].m_Id;
+        unlink(Index);
+        Expired(Id);
+      }
+      Index = Next;
+    }
+}
+
+bool RankQueue::remove(RequestId Id) {
+  for (ProfileQueue &Queue : m_Profiles)
+    for (std::uint32_t Index = Queue.m_Head; Index != NoRow;
+         Index = m_Rows[Index].m_Next)
+      if (m_Rows[Index].m_Id == Id) {
+        unlink(Index);
+        return true;
+      }
+  return false;
+}
+
+void RankQueue::tick(Time Now) {
+  Duration Window = Now - m_WindowStart;
+  if (Window < UseWindow)
+    return;
+  double Available = toMicros(Window) * std::max(m_Capacity, 1);
+  for (std::size_t I = 0; I < RankCount; ++I) {
+    double Use = std::min(m_StartedUs[I] / Available, 1.0);
+    m_Use[I] += UseSmoothing * (Use - m_Use[I]);
+    m_StartedUs[I] = 0;
+  }
+  // Keep the served work of profiles close, so that one that was idle for
+  // long does not shut the others out.
+  double Least = INFINITY;
+  for (const ProfileQueue &Queue : m_Profiles)
+    if (Queue.m_Waiting > 0)
+      Least = std::min(Least, Queue.m_Served);
+  if (std::isfinite(Least))
+    for (ProfileQueue &Queue : m_Profiles)
+      Queue.m_Served = std::max(Queue.m_Served, Least);
+  m_WindowStart = Now;
+}
+
+std::optional<Rank> RankQueue::firstWaitingRank() const {
+  for (std::size_t I = 0; I < RankCount; ++I)
+    if (m_Waiting[I] > 0)
+      return static_cast<Rank>(I);
+  return std::nullopt;
+}
+
+Duration RankQueue::meanService(Rank Value) const {
+  return fromMicros(m_ServiceUs[rankIndex(Value)]);
+}
+
+} // namespace rhubarb
--- /dev/null
+++ b/net/Caller.cpp
@@ -0,0 +1,159 @@
+#include "net/Caller.h"
+
+#include "net/BackendProtocol.h"
+#include "net/Clock.h"
+#include "net/Crypto.h"
+#include "net/Daemon.h"
+
+#include <charconv>
+
+namespace rhubarb::net {
+namespace {
+
+constexpr Duration LookupTimeout = 500ms;
+constexpr Duration ShortPause = 20ms; // Before another entry VM is tried.
+
+Duration retryAfter(const HttpResponse &Response) {
+  std::string_view Text = Response.header("Rhubarb-Retry-After-Ms");
+  std::int64_t Millis = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Millis);
+  return std::chrono::milliseconds(Millis);
+}
+
+} // namespace
+
+Caller::Caller(asio::io_context &Io, const Reachability &Reach, CallerOptions Options)
+    : m_Client(Io, Reach, Options.m_BindIp), m_Options(std::move(Options)),
+      m_Random(randomBits()) {}
+
+// An answer past its TTL is used on when no look-up process can be reached.
+asio::awaitable<Caller::Cached *>
+Caller::lookUp(const std::string &Service, bool Refresh, Time Deadline) {
+  Cached &Entry = m_Cache[Service];
+  if (!Refresh && now() < Entry.m_Until)
+    co_return &Entry;
+  for (std::size_t Try = 0; Try < m_Options.m_Lookups.size(); ++Try) {
+    HttpRequest Request;
+    Request.m_Target =
+        "/v1/lookup?service=" + Service + "&spread=" + std::to_string(m_Random.below(64));
+    std::string Address = m_Options.m_Lookups[m_NextLookup % m_Options.m_Lookups.size()];
+    HttpResult Got = co_await m_Client.send(
+        Address, std::move(Request), std::min(Deadline, now() + LookupTimeout));
+    Result<Json::Value> Json = Fault{};
+    if (Got.m_Failure == HttpFailure::None && Got.m_Response.m_Status == 200)
+      Json = parseJson(Got.m_Response.m_Body);
+    if (!Json || !Json.value().isObject() || !Json.value()["entries"].isArray()) {
+      ++m_NextLookup;
+      continue;
+    }
+    const Json::Value &Answer = Json.value();
+    Entry.m_Entries.clear();
+    for (const Json::Value &Vm : Answer["entries"])
+      Entry.m_Entries.push_back(Vm.asString());
+    Entry.m_Home = Answer["home"].asString();
+    Entry.m_Rank = Answer["rank"].asString();
+    Entry.m_NeedsKey = Answer["needs_key"].asBool();
+    Entry.m_Until = now() + std::chrono::milliseconds(Answer["ttl_ms"].asInt64());
+    break;
+  }
+  co_return Entry.m_Entries.empty() ? nullptr : &Entry;
+}
+
+// Reads how one attempt ended.
+Caller::Attempt Caller::judge(const HttpResult &Got, bool NeedsKey,
+                              CallEnd &End) const {
+  Attempt Ended;
+  if (Got.m_Failure != HttpFailure::None) {
+    Ended.m_MayHaveRun = Got.m_Failure != HttpFailure::Connect;
+    End.m_Reason = Ended.m_MayHaveRun ? "entry_lost" : "entry_unreachable";
+    Ended.m_ComeBack = ShortPause;
+    return Ended;
+  }
+  const HttpResponse &Response = Got.m_Response;
+  End.m_Status = Response.m_Status;
+  End.m_Reason = Response.header(ReasonHeader);
+  std::string Text(Response.header(OutcomeHeader));
+  if (Text == outcomeName(Outcome::Answered)) {
+    End.m_Outcome = Outcome::Answered;
+    End.m_Reason.clear();
+    Ended.m_Final = true;
+    return Ended;
+  }
+  bool AttemptNotRun = Response.header(AttemptOutcomeHeader) == "not-run";
+  Ended.m_MayHaveRun = Text != outcomeName(Outcome::NotRun) && !AttemptNotRun;
+  Ended.m_ComeBack = std::max(retryAfter(Response), ShortPause);
+  Ended.m_NewHome = AttemptNotRun;
+  bool CanPassAgain = End.m_Reason == errorRow(ErrorKind::HomeUnreachable).m_Name;
+  bool HasRetryAfter = !Response.header("Retry-After").empty();
+  Ended.m_Final = Ended.m_MayHaveRun ? NeedsKey && !CanPassAgain
+                                     : !HasRetryAfter && !AttemptNotRun;
+  if (End.m_Reason == errorRow(ErrorKind::Leaving).m_Name)
+    Ended.m_ComeBack = ShortPause;
+  return Ended;
+}
+
+asio::awaitable<CallEnd> Caller::call(Call Request) {
+  CallEnd End;
+  Time Began = now();
+  Time Deadline = Began + m_Options.m_Deadline;
+  bool MayHaveRun = false;
+  bool Refresh = false;
+  std::string Key;
+  if (Request.m_Trace.empty())
+    Request.m_Trace = randomId();
+  End.m_Reason = "no_lookup";
+  while (End.m_Attempts < m_Options.m_MaxAttempts && now() < Deadline) {
+    Cached *Known = co_await lookUp(Request.m_Service, Refresh, Deadline);
+    if (Known == nullptr) {
+      ++End.m_Attempts;
+      co_await sleepFor(ShortPause);
+      continue;
+    }
+    End.m_Rank = Known->m_Rank;
+    bool NeedsKey = Known->m_NeedsKey;
+    if (NeedsKey && Key.empty())
+      Key = Known->m_Home + "." + randomId();
+    if (End.m_Attempts == 0)
+      Known->m_Budget.firstTry();
+    std::string Entry = Known->m_Entries[static_cast<std::size_t>(End.m_Attempts) %
+                                         Known->m_Entries.size()];
+    HttpRequest Sent;
+    Sent.m_Method = Request.m_Method;
+    Sent.m_Target = Request.m_Target;
+    Sent.m_Body = Request.m_Body;
+    Sent.m_Headers = {{ServiceHeader, Request.m_Service}, {TraceHeader, Request.m_Trace}};
+    std::int64_t LeftMs = (Deadline - now()) / std::chrono::milliseconds(1);
+    constexpr std::int64_t LeastMs = 10;
+    Sent.m_Headers.push_back(
+        {DeadlineHeader, std::to_string(std::max(LeftMs, LeastMs))});
+    if (NeedsKey)
+      Sent.m_Headers.push_back({KeyHeader, Key});
+    ++End.m_Attempts;
+    HttpResult Got = co_await m_Client.send(Entry, std::move(Sent), Deadline);
+    Attempt Ended = judge(Got, NeedsKey, End);
+    MayHaveRun = MayHaveRun || Ended.m_MayHaveRun;
+    if (End.m_Outcome == Outcome::Answered) {
+      End.m_Body = std::move(Got.m_Response.m_Body);
+      break;
+    }
+    // The home of the key has gone. When no attempt may have run, neither has
+    // the key, and a new one is safe.
+    if (Ended.m_NewHome && MayHaveRun)
+      break;
+    if (Ended.m_NewHome)
+      Key.clear();
+    Refresh = Got.m_Failure != HttpFailure::None || Ended.m_NewHome ||
+              End.m_Reason == errorRow(ErrorKind::Leaving).m_Name;
+    bool Retry = !Ended.m_Final && now() + Ended.m_ComeBack < Deadline;
+    auto Current = m_Cache.find(Request.m_Service);
+    if (!Retry || !Current->second.m_Budget.tryRetry())
+      break;
+    co_await sleepFor(Ended.m_ComeBack);
+  }
+  if (End.m_Outcome != Outcome::Answered)
+    End.m_Outcome = MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  End.m_Latency = now() - Began;
+  co_return End;
+}
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/Caller.h
@@ -0,0 +1,70 @@
+// The client library: cached look-ups, keys, truthful retries.
+#pragma once
+
+#include "net/Http.h"
+#include "net/Messages.h"
+#include "rhubarb/Retry.h"
+
+namespace rhubarb::net {
+
+struct CallerOptions {
+  std::vector<std::string> m_Lookups; // "ip:port" of look-up processes, in order.
+  std::string m_BindIp;               // Own IP number; empty: any.
+  Duration m_Deadline = 2s;           // Of one call, with all of its attempts.
+  int m_MaxAttempts = 6;
+  RetryLimits m_Retries = {0.2, 20.0};
+};
+
+struct Call {
+  std::string m_Service;
+  std::string m_Method = "POST";
+  std::string m_Target = "/";
+  std::string m_Body;
+  std::string m_Trace; // Reaches the backend server; empty: made up.
+};
+
+struct CallEnd {
+  Outcome m_Outcome = Outcome::NotRun;
+  std::string m_Reason; // Name of the error kind; empty with Answered.
+  std::string m_Rank;   // Of the service.
+  int m_Status = 0;
+  int m_Attempts = 0;
+  Duration m_Latency{0};
+  std::string m_Body;
+};
+
+class Caller {
+public:
+  Caller(asio::io_context &Io, const Reachability &Reach, CallerOptions Options);
+  // Makes one call. Sends it again only when that is safe: the request is
+  // idempotent, or it carries the same key, or it is known not to have run.
+  asio::awaitable<CallEnd> call(Call Request);
+
+private:
+  struct Cached {
+    std::vector<std::string> m_Entries;
+    std::string m_Home;
+    std::string m_Rank;
+    bool m_NeedsKey = true;
+    Time m_Until{0};
+    RetryBudget m_Budget;
+  };
+  struct Attempt {
+    bool m_MayHaveRun = false; // This attempt may have run.
+    bool m_Final = false;
+    Duration m_ComeBack{0};
+    bool m_NewHome = false; // The key's home is gone.
+  };
+
+  asio::awaitable<Cached *> lookUp(const std::string &Service, bool Refresh,
+                                   Time Deadline);
+  Attempt judge(const HttpResult &Got, bool NeedsKey, CallEnd &End) const;
+
+  HttpClient m_Client;
+  CallerOptions m_Options;
+  std::map<std::string, Cached> m_Cache;
+  std::size_t m_NextLookup = 0;
+  Random m_Random;
+};
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/CommandLine.cpp
@@ -0,0 +1,52 @@
+#include "net/Daemon.h"
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace rhubarb::net {
+
+bool CommandLine::flag(const std::string &Name) const {
+  auto Found = m_Flags.find(Name);
+  return Found != m_Flags.end() && Found->second;
+}
+
+std::string CommandLine::value(const std::string &Name) const {
+  auto Found = m_Values.find(Name);
+  return Found == m_Values.end() ? std::string() : Found->second;
+}
+
+std::vector<std::string> CommandLine::list(const std::string &Name) const {
+  auto Found = m_Lists.find(Name);
+  return Found == m_Lists.end() ? std::vector<std::string>() : Found->second;
+}
+
+CommandLine readCommandLine(const std::string &Usage, int Argc, char **Argv) {
+  std::vector<std::string> Words(Argv + 1, Argv + Argc);
+  CommandLine Line;
+  try {
+    for (const auto &[Name, Value] : docopt::docopt_parse(Usage, Words, true, true)) {
+      if (Value.isBool())
+        Line.m_Flags[Name] = Value.asBool();
+      else if (Value.isLong())
+        Line.m_Values[Name] = std::to_string(Value.asLong());
+      else if (Value.isString())
+        Line.m_Values[Name] = Value.asString();
+      else if (Value.isStringList())
+        Line.m_Lists[Name] = Value.asStringList();
+    }
+  } catch (const docopt::DocoptExitHelp &) {
+    std::cout << Usage << "\n";
+    std::exit(ExitOk); // NOLINT(concurrency-mt-unsafe)
+  } catch (const docopt::DocoptExitVersion &) {
+    std::cout << RHUBARB_VERSION << "\n";
+    std::exit(ExitOk); // NOLINT(concurrency-mt-unsafe)
+  } catch (const std::exception &Thrown) {
+    std::cerr << Thrown.what() << "\n" << Usage << "\n";
+    std::exit(ExitUsage); // NOLINT(concurrency-mt-unsafe)
+  }
+  return Line;
+}
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/ConfigStore.cpp
@@ -0,0 +1,232 @@
+#include "net/ConfigStore.h"
+
+#include "net/Clock.h"
+#include "net/Crypto.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rhubarb::net {
+namespace {
+
+constexpr const char *HeadKey = "rhubarb/config/head";
+constexpr const char *CheckpointPrefix = "rhubarb/config/checkpoint/";
+constexpr std::size_t EditsPerCheckpoint = 32;
+constexpr std::size_t EditsKept = 64;
+constexpr std::size_t ChunkBytes = 512U << 10U; // Store values end at a megabyte.
+constexpr std::size_t MaxHeadBytes = 900U << 10U;
+constexpr int ResolveTries = 5;
+constexpr Duration ResolvePause = 300ms;
+
+Json::Value editObject(const ConfigEdit &Edit) {
+  Json::Value Row;
+  Row["id"] = Edit.m_Id;
+  Row["revision"] = static_cast<Json::UInt64>(Edit.m_Revision);
+  Row["author"] = Edit.m_Author;
+  Row["time_ms"] = static_cast<Json::Int64>(Edit.m_TimeMs);
+  Row["changes"] = toJson(Edit.m_Changes);
+  return Row;
+}
+
+ConfigEdit readEdit(const Json::Value &Row) {
+  ConfigEdit Edit;
+  Edit.m_Id = Row["id"].asString();
+  Edit.m_Revision = Row["revision"].asUInt64();
+  Edit.m_Author = Row["author"].asString();
+  Edit.m_TimeMs = Row["time_ms"].asInt64();
+  Edit.m_Changes = readChanges(Row["changes"]);
+  return Edit;
+}
+
+asio::awaitable<void> pause(Duration Length) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Length);
+  co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+// Writes the document in chunks under keys of their own. Keys are never
+// written twice, so a lost answer does no harm: the chunk is read back.
+asio::awaitable<bool> writeCheckpoint(const Store &Target, ConfigHead &Head,
+                                      const ConfigSections &Sections,
+                                      const std::string &EditId) {
+  std::string Text = compactJson(toJson(Sections));
+  Head.m_CheckpointKeys.clear();
+  Head.m_CheckpointRevision = Head.m_Revision;
+  Head.m_CheckpointHash = stableHash(Text);
+  for (std::size_t At = 0; At < Text.size(); At += ChunkBytes) {
+    std::string Key = CheckpointPrefix + EditId + "-" +
+                      std::to_string(Head.m_CheckpointKeys.size());
+    std::string Chunk = Text.substr(At, ChunkBytes);
+    if (co_await Target.m_Swap(Key, Chunk, 0) != SwapEnd::Swapped) {
+      Result<StoreValue> Stored = co_await Target.m_Get(Key, 0, Duration{0});
+      if (!Stored || Stored.value().m_Value != Chunk)
+        co_return false;
+    }
+    Head.m_CheckpointKeys.push_back(Key);
+  }
+  co_return true;
+}
+
+const ConfigEdit *findEdit(const ConfigHead &Head, const std::string &Id) {
+  for (const ConfigEdit &Edit : Head.m_Edits)
+    if (Edit.m_Id == Id)
+      return &Edit;
+  return nullptr;
+}
+
+// Looks into the store for the end of a write that may have taken effect.
+asio::awaitable<EditResult> resolveEdit(const Store &Target, std::string Id,
+                                        std::uint64_t BaseRevision) {
+  EditResult End;
+  End.m_Text = "the store gave no answer; run 'rhubarbctl history' and look for "
+               "edit " +
+               Id;
+  for (int Try = 0; Try < ResolveTries; ++Try) {
+    Result<LoadedConfig> Seen = co_await loadHead(Target, 0, Duration{0});
+    if (!Seen) {
+      co_await pause(ResolvePause);
+      continue;
+    }
+    const ConfigHead &Head = Seen.value().m_Head;
+    if (const ConfigEdit *Own = findEdit(Head, Id)) {
+      End.m_End = EditEnd::Accepted;
+      End.m_Revision = Own->m_Revision;
+      co_return End;
+    }
+    if (Head.m_Revision > BaseRevision) {
+      End.m_End = EditEnd::Conflict;
+      for (const ConfigEdit &Edit : Head.m_Edits)
+        if (Edit.m_Revision == BaseRevision + 1)
+          End.m_Winner = Edit;
+      End.m_Text = "another edit was accepted first";
+      co_return End;
+    }
+    // Not there yet: the write may still be on its way, so look again.
+    co_await pause(ResolvePause);
+  }
+  co_return End;
+}
+
+} // namespace
+
+std::string encodeHead(const ConfigHead &Head) {
+  Json::Value Json;
+  Json["schema"] = SchemaVersion;
+  Json["revision"] = static_cast<Json::UInt64>(Head.m_Revision);
+  Json["checkpoint_revision"] =
+      static_cast<Json::UInt64>(Head.m_CheckpointRevision);
+  Json["checkpoint_hash"] = static_cast<Json::UInt64>(Head.m_CheckpointHash);
+  Json["checkpoint_keys"] = Json::Value(Json::arrayValue);
+  for (const std::string &Key : Head.m_CheckpointKeys)
+    Json["checkpoint_keys"].append(Key);
+  Json["edits"] = Json::Value(Json::arrayValue);
+  for (const ConfigEdit &Edit : Head.m_Edits)
+    Json["edits"].append(editObject(Edit));
+  return compactJson(Json);
+}
+
+Result<ConfigHead> decodeHead(const std::string &Text) {
+  Result<Json::Value> Parsed = parseJson(Text);
+  if (!Parsed)
+    return Parsed.error();
+  try {
+    const Json::Value &Json = Parsed.value();
+    ConfigHead Head;
+    Head.m_Revision = Json["revision"].asUInt64();
+    Head.m_CheckpointRevision = Json["checkpoint_revision"].asUInt64();
+    Head.m_CheckpointHash = Json["checkpoint_hash"].asUInt64();
+    for (const Json::Value &Key : Json["checkpoint_keys"])
+      Head.m_CheckpointKeys.push_back(Key.asString());
+    for (const Json::Value &Row : Json["edits"])
+      Head.m_Edits.push_back(readEdit(Row));
+    return Head;
+  } catch (const std::exception &Thrown) {
+    return Fault{ErrorKind::Internal, std::string("config head: ") + Thrown.what()};
+  }
+}
+
+asio::awaitable<Result<LoadedConfig>>
+loadHead(const Store &Source, std::uint64_t WatchIndex, Duration Wait) {
+  Result<StoreValue> Value = co_await Source.m_Get(HeadKey, WatchIndex, Wait);
+  if (!Value)
+    co_return Value.error();
+  LoadedConfig Loaded;
+  Loaded.m_Index = Value.value().m_Index;
+  Loaded.m_WatchIndex = Value.value().m_WatchIndex;
+  if (!Value.value().m_Exists)
+    co_return Loaded;
+  Result<ConfigHead> Head = decodeHead(Value.value().m_Value);
+  if (!Head)
+    co_return Head.error();
+  Loaded.m_Head = Head.value();
+  co_return Loaded;
+}
+
+asio::awaitable<Result<LoadedConfig>> loadSections(const Store &Source,
+                                                   LoadedConfig Loaded) {
+  std::string Text;
+  for (const std::string &Key : Loaded.m_Head.m_CheckpointKeys) {
+    Result<StoreValue> Chunk = co_await Source.m_Get(Key, 0, Duration{0});
+    if (!Chunk)
+      co_return Chunk.error();
+    Text += Chunk.value().m_Value;
+  }
+  Loaded.m_Sections.clear();
+  if (!Loaded.m_Head.m_CheckpointKeys.empty()) {
+    Result<Json::Value> Json = parseJson(Text);
+    if (!Json || stableHash(Text) != Loaded.m_Head.m_CheckpointHash)
+      co_return Fault{ErrorKind::Internal, "the checkpoint does not match its hash"};
+    try {
+      Loaded.m_Sections = readSections(Json.value());
+    } catch (const std::exception &Thrown) {
+      co_return Fault{ErrorKind::Internal, Thrown.what()};
+    }
+  }
+  for (const ConfigEdit &Edit : Loaded.m_Head.m_Edits)
+    if (Edit.m_Revision > Loaded.m_Head.m_CheckpointRevision)
+      applyChanges(Loaded.m_Sections, Edit.m_Changes);
+  co_return Loaded;
+}
+
+asio::awaitable<EditResult> writeEdit(const Store &Target, const LoadedConfig &Base,
+                                      std::vector<SectionChange> Changes,
+                                      std::string Author) {
+  EditResult End;
+  ConfigHead Head = Base.m_Head;
+  ConfigSections Sections = Base.m_Sections;
+  applyChanges(Sections, Changes);
+  ConfigCheck Check = checkConfig(Sections, Head.m_Revision + 1);
+  if (!Check.m_Faults.empty()) {
+    End.m_End = EditEnd::Invalid;
+    End.m_Faults = Check.m_Faults;
+    co_return End;
+  }
+  ++Head.m_Revision;
+  ConfigEdit Edit{randomId(), Head.m_Revision, std::move(Author), unixMillis(),
+                  std::move(Changes)};
+  std::string Id = Edit.m_Id;
+  Head.m_Edits.push_back(std::move(Edit));
+  bool Due = Head.m_Revision - Head.m_CheckpointRevision >= EditsPerCheckpoint ||
+             encodeHead(Head).size() > MaxHeadBytes;
+  if (Due) {
+    if (!co_await writeCheckpoint(Target, Head, Sections, Id)) {
+      End.m_Text = "the checkpoint could not be written; nothing has changed";
+      co_return End;
+    }
+    while (Head.m_Edits.size() > 1 && (Head.m_Edits.size() > EditsKept ||
+                                       encodeHead(Head).size() > MaxHeadBytes))
+      Head.m_Edits.erase(Head.m_Edits.begin());
+    if (encodeHead(Head).size() > MaxHeadBytes)
+      Head.m_Edits.back().m_Changes.clear(); // Readers take the checkpoint.
+  }
+  SwapEnd Swapped = co_await Target.m_Swap(HeadKey, encodeHead(Head), Base.m_Index);
+  if (Swapped == SwapEnd::Swapped) {
+    End.m_End = EditEnd::Accepted;
+    End.m_Revision = Head.m_Revision;
+    co_return End;
+  }
+  co_return co_await resolveEdit(Target, Id, Base.m_Head.m_Revision);
+}
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/Crypto.h
@@ -0,0 +1,35 @@
+// Random numbers, signatures and base64, by OpenSSL.
+#pragma once
+
+#include "rhubarb/Keys.h"
+
+#include <string>
+#include <string_view>
+
+namespace rhubarb::net {
+
+// Returns 64 random bits.
+std::uint64_t randomBits();
+// Returns 16 random hexadecimal digits.
+std::string randomId();
+// Encodes bytes as base64 with padding.
+std::string encodeBase64(std::string_view Bytes);
+// Decodes base64; a fault for anything else.
+Result<std::string> decodeBase64(std::string_view Text);
+
+// Signs and checks key homes with the deployment's secret (HMAC-SHA-256, first
+// 16 hexadecimal digits).
+class KeySigner {
+public:
+  explicit KeySigner(std::string Secret) : m_Secret(std::move(Secret)) {}
+  // Returns a signed key home.
+  KeyHome sign(const HomeId &Home, std::int64_t IssuedMs) const;
+  // Returns whether the signature is this deployment's.
+  bool verify(const KeyHome &Home) const;
+
+private:
+  std::string signature(const std::string &Payload) const;
+  std::string m_Secret;
+};
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/Daemon.cpp
@@ -0,0 +1,162 @@
+#include "net/Daemon.h"
+
+#include "net/Clock.h"
+#include "net/Log.h"
+#include "net/Messages.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace rhubarb::net {
+namespace {
+
+constexpr std::int64_t MaxPort = 65535;
+
+const SettingTable CommonTable{
+    {"vm", "ip", SettingKind::Ip, nullptr, 0, 0, "", "IP number of this VM"},
+    {"vm", "domain", SettingKind::Text, nullptr, 0, 0, "",
+     "failure domain of this VM"},
+    {"vm", "region", SettingKind::Text, nullptr, 0, 0, "", "region of this VM"},
+    {"operator", "ip", SettingKind::Ip, "127.0.0.1", 0, 0, "",
+     "IP number that the operator's port binds to"},
+    {"operator", "port", SettingKind::Number, nullptr, 1, MaxPort, "port",
+     "operator's port: status, metrics, explain"},
+    {"log", "level", SettingKind::Choice, "info", 0, 0, "debug,info,warning,error",
+     "least severe events that are written"},
+    {"log", "format", SettingKind::Choice, "text", 0, 0, "text,json",
+     "key=value or JSON lines"},
+    {"testing", "faults", SettingKind::Flag, "no", 0, 0, "",
+     "accept fault injection on the operator's port; never in production"},
+};
+
+std::string usageOf(const ProgramInfo &Info) {
+  std::string Name = Info.m_Name;
+  return Name + ": " + Info.m_Summary + "\n\nUsage:\n  " + Name +
+         " [--config=FILE] [--set=SETTING]... [--check-config]\n  " + Name +
+         " --help-config [--markdown]\n  " + Name + " (-h | --help)\n  " + Name +
+         " --version\n\n"
+         "Options:\n"
+         "  --config=FILE   Settings in INI.\n"
+         "  --set=SETTING   One setting as section.key=value; goes before FILE.\n"
+         "  --check-config  Check the settings and end.\n"
+         "  --help-config   List every setting with its range and default.\n"
+         "  --markdown      List them as a Markdown table.\n"
+         "  -h --help       Show this text.\n"
+         "  --version       Show the version.\n\n"
+         "Exit codes: 0 ended as told, 1 failed, 2 unusable words or settings.\n";
+}
+
+std::vector<std::string> splitWords(const std::string &Text) {
+  std::vector<std::string> Words;
+  std::size_t At = 0;
+  while (At <= Text.size()) {
+    std::size_t Comma = std::min(Text.find(',', At), Text.size());
+    if (Comma > At)
+      Words.push_back(Text.substr(At, Comma - At));
+    At = Comma + 1;
+  }
+  return Words;
+}
+
+asio::awaitable<HttpResponse> operate(Daemon &Frame, const DaemonHooks &Hooks,
+                                      HttpRequest Request) {
+  if (Request.path() == "/metrics") {
+    if (Hooks.m_UpdateGauges)
+      Hooks.m_UpdateGauges();
+    co_return HttpResponse{200,
+                           {{"Content-Type", "text/plain; version=0.0.4"}},
+                           Frame.m_Metrics.text()};
+  }
+  if (Request.path() == "/v1/status" && Hooks.m_Status)
+    co_return jsonResponse(200, compactJson(Hooks.m_Status()) + "\n");
+  if (Request.path() == "/v1/faults" && Request.m_Method == "POST" &&
+      Frame.m_Settings.flag("testing.faults")) {
+    Frame.m_Reach.setCut(splitWords(std::string(Request.query("cut"))));
+    co_return jsonResponse(200, "{}\n");
+  }
+  if (Hooks.m_Operate)
+    co_return co_await Hooks.m_Operate(std::move(Request));
+  co_return jsonResponse(404, "{\"error\":\"not_found\"}\n");
+}
+
+asio::awaitable<void> waitForStop(Daemon &Frame, const DaemonHooks &Hooks) {
+  asio::signal_set Signals(Frame.m_Io, SIGTERM, SIGINT);
+  co_await Signals.async_wait(asio::as_tuple(asio::use_awaitable));
+  Time Began = now();
+  logEvent(Severity::Info, "stopping");
+  if (Hooks.m_Stop)
+    co_await Hooks.m_Stop();
+  std::int64_t Millis = (now() - Began) / std::chrono::milliseconds(1);
+  logEvent(Severity::Info, "stopped", {{"drain_ms", std::to_string(Millis)}});
+  Frame.m_Io.stop();
+}
+
+} // namespace
+
+asio::awaitable<void> sleepFor(Duration Length) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Length);
+  co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void spawn(asio::io_context &Io, asio::awaitable<void> Task) {
+  asio::co_spawn(Io, std::move(Task), [](const std::exception_ptr &Thrown) {
+    if (!Thrown)
+      return;
+    try {
+      std::rethrow_exception(Thrown);
+    } catch (const std::exception &Error) {
+      logEvent(Severity::Error, "task_failed", {{"error", Error.what()}});
+    }
+  });
+}
+
+int runDaemon(int Argc, char **Argv, const ProgramInfo &Info,
+              const std::function<DaemonHooks(Daemon &)> &Build) {
+  SettingTable Table = CommonTable;
+  Table.insert(Table.end(), Info.m_Table.begin(), Info.m_Table.end());
+  CommandLine Line = readCommandLine(usageOf(Info), Argc, Argv);
+  if (Line.flag("--help-config")) {
+    std::cout << describeSettings(Table, Line.flag("--markdown"));
+    return ExitOk;
+  }
+  Result<Settings> Loaded =
+      Settings::load(Table, Line.value("--config"), Line.list("--set"));
+  if (!Loaded) {
+    std::cerr << Loaded.error().m_Text;
+    return ExitUsage;
+  }
+  if (Line.flag("--check-config")) {
+    std::cout << "settings are good\n";
+    return ExitOk;
+  }
+  Daemon Frame(Loaded.value());
+  const Settings &Values = Frame.m_Settings;
+  startLog(Info.m_Name, Values.text("log.level"), Values.text("log.format"));
+  DaemonHooks Hooks = Build(Frame);
+  HttpServer Operator(Frame.m_Io, Frame.m_Reach, HttpServerLimits{},
+                      [&](HttpRequest Request) {
+                        return operate(Frame, Hooks, std::move(Request));
+                      });
+  Result<std::uint16_t> Port =
+      Operator.start(Values.text("operator.ip"),
+                     static_cast<std::uint16_t>(Values.number("operator.port")));
+  Result<int> Started = Port ? Hooks.m_Start() : Result<int>(Port.error());
+  if (!Started) {
+    logEvent(Severity::Error, "start_failed", {{"error", Started.error().m_Text}});
+    return ExitFailed;
+  }
+  logEvent(Severity::Info, "started",
+           {{"vm", Values.text("vm.ip")}, {"version", RHUBARB_VERSION}});
+  spawn(Frame.m_Io, waitForStop(Frame, Hooks));
+  Frame.m_Io.run();
+  return ExitOk;
+}
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/Messages.h
@@ -0,0 +1,115 @@
+// Typed messages between the system's processes, and their JSON form. Each one
+// carries a schema version; fields that are not known are left alone.
+#pragma once
+
+#include "rhubarb/Config.h"
+#include "rhubarb/Grants.h"
+#include "rhubarb/Keys.h"
+#include "rhubarb/Members.h"
+
+#include <json/json.h>
+
+#include <string>
+#include <vector>
+
+namespace rhubarb::net {
+
+inline constexpr int SchemaVersion = 1;
+
+// Ports that every VM uses; from the settings.
+struct VmPorts {
+  std::uint16_t m_Entry = 0;
+  std::uint16_t m_Lookup = 0;
+  std::uint16_t m_Steer = 0; // JSON-RPC over HTTP, and heartbeats over UDP.
+};
+
+// Own report and relayed ones, from agent to agent (UDP notification).
+struct Heartbeat {
+  std::vector<RelayedReport> m_Rows;
+};
+
+// A VM or backend server of the platform's list.
+struct ListedVm {
+  std::string m_Ip;
+  std::string m_Domain;
+  bool m_Leaving = false;
+};
+
+struct ListedServer {
+  std::string m_Address;
+  std::string m_Pool;
+  std::string m_Domain;
+  bool m_Leaving = false;
+};
+
+// The platform's list as one agent knows it.
+struct Directory {
+  std::uint64_t m_Index = 0; // Grows with each change.
+  std::vector<ListedVm> m_Vms;
+  std::vector<ListedServer> m_Servers; // Of the own region.
+};
+
+// A member in a snapshot.
+struct SnapshotMember {
+  std::string m_Ip;
+  std::string m_Domain;
+  MemberState m_State = MemberState::Unheard;
+  std::uint64_t m_EntryIncarnation = 0;
+  std::vector<std::string> m_Adopted;
+  std::vector<PoolSummary> m_Pools;
+};
+
+// What the agent pushes to the entry and look-up processes of its VM.
+struct Snapshot {
+  std::uint64_t m_Sequence = 0;
+  bool m_ConfigKnown = false; // False: answer no_configuration.
+  std::uint64_t m_Revision = 0;
+  ConfigSections m_Sections;
+  std::vector<SnapshotMember> m_Members;
+  std::vector<ListedServer> m_Servers;
+};
+
+// What an entry process answers to a snapshot.
+struct EntryReport {
+  std::uint64_t m_Incarnation = 0;
+  std::uint64_t m_Revision = 0; // In force.
+  bool m_Leaving = false;
+  std::vector<PoolSummary> m_Pools;
+  std::vector<std::string> m_Adopted;
+};
+
+// Hand-over of keys to the neighbour that answers for a retired home.
+struct KeyHandover {
+  std::vector<HomeId> m_Homes; // In the last part only.
+  std::vector<KeyHandoverRow> m_Rows;
+};
+
+Json::Value toJson(const Heartbeat &Message);
+Json::Value toJson(const Directory &Message);
+Json::Value toJson(const Snapshot &Message);
+Json::Value toJson(const EntryReport &Message);
+Json::Value toJson(const KeyHandover &Message);
+Json::Value toJson(const GrantAsk &Message, const std::string &Pool);
+Json::Value toJson(const Grant &Message);
+Json::Value toJson(const ConfigSections &Sections);
+Json::Value toJson(const std::vector<SectionChange> &Changes);
+
+// Each reader throws Json::Exception for a message of the wrong shape.
+Heartbeat readHeartbeat(const Json::Value &Json);
+Directory readDirectory(const Json::Value &Json);
+Snapshot readSnapshot(const Json::Value &Json);
+EntryReport readEntryReport(const Json::Value &Json);
+KeyHandover readKeyHandover(const Json::Value &Json);
+GrantAsk readGrantAsk(const Json::Value &Json, std::string &Pool);
+Grant readGrant(const Json::Value &Json);
+ConfigSections readSections(const Json::Value &Json);
+std::vector<SectionChange> readChanges(const Json::Value &Json);
+
+// Returns JSON on one line, without blanks.
+std::string compactJson(const Json::Value &Json);
+// Reads JSON text of bounded depth.
+Result<Json::Value> parseJson(const std::string &Text);
+// Text form of a home in member reports: ip-port-incarnation in hexadecimal.
+std::string homeText(const HomeId &Home);
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/Reachability.h
@@ -0,0 +1,27 @@
+// Fault injection for tests: addresses that this process behaves as cut off
+// from. Empty in production; can be set only with testing.faults = yes.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rhubarb::net {
+
+class Reachability {
+public:
+  // Cuts every address that starts with one of Prefixes ("127.1.2.").
+  void setCut(std::vector<std::string> Prefixes) { m_Cut = std::move(Prefixes); }
+  // Returns whether traffic to and from an IP number passes.
+  bool allows(std::string_view Ip) const {
+    return std::none_of(m_Cut.begin(), m_Cut.end(), [&](const std::string &Prefix) {
+      return Ip.starts_with(Prefix);
+    });
+  }
+
+private:
+  std::vector<std::string> m_Cut;
+};
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/RpcCall.h
@@ -0,0 +1,15 @@
+// One JSON-RPC call over HTTP to another process of the system.
+#pragma once
+
+#include "net/Http.h"
+
+#include <json/json.h>
+
+namespace rhubarb::net {
+
+// Calls Method at "ip:port" and returns its result.
+asio::awaitable<Result<Json::Value>> callRpc(HttpClient &Client, std::string Address,
+                                             std::string Method, Json::Value Params,
+                                             Time Deadline);
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/net/Settings.cpp
@@ -0,0 +1,197 @@
+#include "net/Settings.h"
+
+#include "net/Ini.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+
+namespace rhubarb::net {
+namespace {
+
+constexpr int MaxPort = 65535;
+
+bool readNumber(std::string_view Text, std::int64_t &Value) {
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] = std::from_chars(Text.data(), End, Value);
+  return Error == std::errc() && Stop == End;
+}
+
+bool isIp(const std::string &Text) {
+  boost::system::error_code Error;
+  boost::asio::ip::make_address_v4(Text, Error);
+  return !Error;
+}
+
+bool isAddress(const std::string &Text) {
+  std::size_t Colon = Text.rfind(':');
+  std::int64_t Port = 0;
+  return Colon != std::string::npos && isIp(Text.substr(0, Colon)) &&
+         readNumber(std::string_view(Text).substr(Colon + 1), Port) && Port > 0 &&
+         Port <= MaxPort;
+}
+
+std::vector<std::string> splitList(const std::string &Text) {
+  std::vector<std::string> Parts;
+  std::istringstream Stream(Text);
+  for (std::string Part; std::getline(Stream, Part, ',');)
+    if (!Part.empty())
+      Parts.push_back(Part);
+  return Parts;
+}
+
+// Returns what a value may be, for messages and the page of settings.
+std::string allowedText(const SettingRow &Row) {
+  switch (Row.m_Kind) {
+  case SettingKind::Number:
+    return std::to_string(Row.m_Min) + " to " + std::to_string(Row.m_Max) + " " +
+           Row.m_Unit;
+  case SettingKind::Flag:
+    return "yes or no";
+  case SettingKind::Ip:
+    return "an IPv4 number";
+  case SettingKind::Address:
+    return "IPv4:port, several by commas";
+  case SettingKind::Choice:
+    return std::string("one of ") + Row.m_Unit;
+  case SettingKind::Text:
+    break;
+  }
+  return "text";
+}
+
+bool isAllowed(const SettingRow &Row, const std::string &Value) {
+  std::int64_t Number = 0;
+  switch (Row.m_Kind) {
+  case SettingKind::Number:
+    return readNumber(Value, Number) && Number >= Row.m_Min && Number <= Row.m_Max;
+  case SettingKind::Flag:
+    return Value == "yes" || Value == "no";
+  case SettingKind::Ip:
+    return isIp(Value);
+  case SettingKind::Address: {
+    std::vector<std::string> Parts = splitList(Value);
+    return std::all_of(Parts.begin(), Parts.end(), isAddress);
+  }
+  case SettingKind::Choice: {
+    std::vector<std::string> Parts = splitList(Row.m_Unit);
+    return std::find(Parts.begin(), Parts.end(), Value) != Parts.end();
+  }
+  case SettingKind::Text:
+    break;
+  }
+  return true;
+}
+
+// Collects faults of one load.
+class FaultList {
+public:
+  explicit FaultList(std::string File) : m_File(std::move(File)) {}
+  void add(const std::string &Name, const std::string &Value,
+           const std::string &Text) {
+    m_Text += (m_File.empty() ? "(command line)" : m_File) + ": " + Name + " = '" +
+              Value + "': " + Text + "\n";
+  }
+  const std::string &text() const { return m_Text; }
+
+private:
+  std::string m_File;
+  std::string m_Text;
+};
+
+} // namespace
+
+Result<Settings> Settings::load(const SettingTable &Table, const std::string &File,
+                                const std::vector<std::string> &Overrides) {
+  FaultList Faults(File);
+  std::map<std::string, std::string> Given;
+  if (!File.empty()) {
+    std::ifstream Stream(File);
+    if (!Stream)
+      return Fault{ErrorKind::BadRequest, File + ": cannot be read\n"};
+    std::stringstream Text;
+    Text << Stream.rdbuf();
+    Result<ConfigSections> Sections = parseIni(Text.str());
+    if (!Sections)
+      return Fault{ErrorKind::BadRequest, File + ": " + Sections.error().m_Text + "\n"};
+    for (const auto &[Section, Values] : Sections.value())
+      for (const auto &[Key, Value] : Values)
+        Given[Section + "." + Key] = Value;
+  }
+  for (const std::string &Override : Overrides) {
+    std::size_t Equals = Override.find('=');
+    if (Equals == std::string::npos)
+      Faults.add("--set", Override, "takes section.key=value");
+    else
+      Given[Override.substr(0, Equals)] = Override.substr(Equals + 1);
+  }
+  Settings Loaded;
+  std::set<std::string> Known;
+  for (const SettingRow &Row : Table) {
+    std::string Name = std::string(Row.m_Section) + "." + Row.m_Key;
+    Known.insert(Name);
+    auto Found = Given.find(Name);
+    if (Found == Given.end() && Row.m_Default == nullptr) {
+      Faults.add(Name, "", "is missing; takes " + allowedText(Row));
+      continue;
+    }
+    std::string Value = Found == Given.end() ? Row.m_Default : Found->second;
+    bool Empty = Value.empty() && Row.m_Default != nullptr;
+    if (!Empty && !isAllowed(Row, Value))
+      Faults.add(Name, Value, "takes " + allowedText(Row));
+    Loaded.m_Values[Name] = Value;
+  }
+  for (const auto &[Name, Value] : Given)
+    if (!Known.contains(Name))
+      Faults.add(Name, Value, "is not a setting; see --help-config");
+  if (!Faults.text().empty())
+    return Fault{ErrorKind::BadRequest, Faults.text()};
+  return Loaded;
+}
+
+const std::string &Settings::text(const std::string &Name) const {
+  auto Found = m_Values.find(Name);
+  if (Found == m_Values.end())
+    throw std::logic_error("setting " + Name + " is missing in the table of keys");
+  return Found->second;
+}
+
+std::int64_t Settings::number(const std::string &Name) const {
+  std::int64_t Value = 0;
+  readNumber(text(Name), Value);
+  return Value;
+}
+
+Duration Settings::millis(const std::string &Name) const {
+  return std::chrono::milliseconds(number(Name));
+}
+
+bool Settings::flag(const std::string &Name) const { return text(Name) == "yes"; }
+
+std::vector<std::string> Settings::list(const std::string &Name) const {
+  return splitList(text(Name));
+}
+
+std::string describeSettings(const SettingTable &Table, bool Markdown) {
+  std::string Text;
+  if (Markdown)
+    Text += "| key | takes | default | meaning |\n| --- | --- | --- | --- |\n";
+  for (const SettingRow &Row : Table) {
+    std::string Name = std::string(Row.m_Section) + "." + Row.m_Key;
+    std::string Default = Row.m_Default == nullptr ? "(required)" : Row.m_Default;
+    if (Markdown)
+      Text += "| `" + Name + "` | " + allowedText(Row) + " | " + Default + " | " +
+              Row.m_Text + " |\n";
+    else
+      Text += Name + "\n    takes " + allowedText(Row) + "; default " + Default +
+              "\n    " + Row.m_Text + "\n";
+  }
+  return Text;
+}
+
+} // namespace rhubarb::net
--- /dev/null
+++ b/scripts/deployment.sh
@@ -0,0 +1,152 @@
+# Shell functions that start and stop a small deployment on loopback: three
+# regions, two failure domains each. Every VM has an IP number of its own,
+# 127.<net>.<domain>.<vm>. Sourced by quickstart.sh and by tests.
+
+bin=build/bin
+net=${RHUBARB_NET:-41}
+run=${RHUBARB_RUN:-run}
+platform=127.$net.0.1:8500
+secret=loopback-only
+pids_file=$run/pids
+extra_settings=${RHUBARB_SETTINGS:-}
+
+domains_of() {
+  case "$1" in
+  drevorez) echo "stredne-1 stredne-2 vychod-1 vychod-2 zapad-1 zapad-2" ;;
+  kartograf) echo "lj-1 lj-2 mb-1 mb-2 kp-1 kp-2" ;;
+  *) echo "no deployment '$1'" >&2; return 2 ;;
+  esac
+}
+
+# pool:servers-per-domain:slots:service-ms
+pools_of() {
+  case "$1" in
+  drevorez) echo "catalogue:2:9:20 order:1:3:40" ;;
+  kartograf) echo "viewer:2:3:20 intake:1:3:40" ;;
+  esac
+}
+
+# Calls a second from each failure domain.
+rates_of() {
+  case "$1" in
+  drevorez) echo "--rate=catalogue=60 --rate=deposits=20 --rate=orders=15" ;;
+  kartograf) echo "--rate=sheets=40 --rate=stamps=20 --rate=filings=15" ;;
+  esac
+}
+
+region_of() { echo "${1%-*}"; }
+
+# Starts a program and remembers its process id under a name.
+start() {
+  local name=$1; shift
+  "$@" >"$run/log/$name.log" 2>&1 &
+  echo "$name $!" >>"$pids_file"
+}
+
+pid_of() { awk -v name="$1" '$1 == name { pid = $2 } END { print pid }' "$pids_file"; }
+
+wait_http() { # ADDRESS
+  local tries=100
+  until curl -s -o /dev/null "http://$1"; do
+    tries=$((tries - 1))
+    [ $tries -gt 0 ] || { echo "no answer from $1" >&2; return 1; }
+    sleep 0.1
+  done
+}
+
+# register ID SERVICE IP PORT META
+register() {
+  curl -s -X PUT -o /dev/null "http://$platform/v1/catalog/register" -d "{
+    \"Address\":\"$3\",
+    \"Service\":{\"ID\":\"$1\",\"Service\":\"$2\",\"Port\":$4,\"Meta\":{$5}}}"
+}
+
+start_vm() { # DOMAIN IP
+  local domain=$1 ip=$2 region
+  region=$(region_of "$domain")
+  local common="--set=vm.ip=$ip --set=vm.domain=$domain --set=vm.region=$region
+    --set=operator.ip=$ip --set=testing.faults=yes $extra_settings"
+  start "entry-$ip" "$bin/rhubarb-entry" $common --set=operator.port=9080 \
+    --set=entry.key_secret=$secret
+  start "lookup-$ip" "$bin/rhubarb-lookup" $common --set=operator.port=9081 \
+    --set=entry.key_secret=$secret
+  start "steer-$ip" "$bin/rhubarb-steer" $common --set=operator.port=9082 \
+    --set=platform.address=$platform
+}
+
+start_backend() { # DOMAIN POOL INDEX SLOTS SERVICE_MS
+  local ip=127.$net.$((100 + $3)).$(( $(domain_number "$1") + 1 ))
+  local port=9000
+  [ "$2" = "$first_pool" ] || port=9001
+  start "backend-$ip:$port" "$bin/standin-backend" --ip=$ip --port=$port \
+    --slots=$4 --service-ms=$5 --runs="$run/runs/$ip-$port"
+  register "$ip:$port" "rhubarb-servers-$(region_of "$1")" $ip $port \
+    "\"pool\":\"$2\",\"domain\":\"$1\",\"state\":\"live\""
+}
+
+domain_number() {
+  local number=0 domain
+  for domain in $(domains_of "$deployment_name"); do
+    [ "$domain" = "$1" ] && { echo $number; return; }
+    number=$((number + 1))
+  done
+}
+
+start_deployment() {
+  deployment_name=$1
+  rm -rf "$run"
+  mkdir -p "$run/log" "$run/runs"
+  : >"$pids_file"
+  start platform "$bin/standin-platform" --ip=127.$net.0.1 --port=8500
+  wait_http "$platform/calls"
+  local domain number=0 pool count slots ms vm
+  first_pool=$(pools_of "$1" | cut -d: -f1)
+  vm_list=
+  for domain in $(domains_of "$1"); do
+    number=$((number + 1))
+    # Nine VMs: two in the first failure domain of each region, one in the second.
+    local vms="1 2"
+    [ "${domain##*-}" = 1 ] || vms="1"
+    for vm in $vms; do
+      local ip=127.$net.$number.$vm
+      vm_list="$vm_list $domain/$ip"
+      register "vm-$ip" rhubarb-vm $ip 8080 "\"domain\":\"$domain\",\"state\":\"live\""
+    done
+  done
+  local row
+  for row in $vm_list; do start_vm "${row%/*}" "${row#*/}"; done
+  for domain in $(domains_of "$1"); do
+    for row in $(pools_of "$1"); do
+      IFS=: read -r pool count slots ms <<<"$row"
+      local index
+      for index in $(seq 1 "$count"); do start_backend "$domain" "$pool" "$index" "$slots" "$ms"; done
+    done
+  done
+  for row in $vm_list; do wait_http "${row#*/}:9082/v1/status"; done
+}
+
+ctl() { "$bin/rhubarbctl" --platform="$platform" "$@"; }
+
+vm_ips() { local row; for row in $vm_list; do echo "${row#*/}"; done; }
+first_vm_of_each_domain() { vm_ips | grep '\.1$'; }
+
+# Look-up addresses for a caller beside one VM: its own first, then all others.
+lookups_from() {
+  { echo "$1"; vm_ips | grep -vx "$1"; } | sed 's/$/:8081/' | paste -sd,
+}
+
+entry_vm_to_kill() { vm_ips | sed -n 2p; }
+backend_to_kill() { awk '$1 ~ /^backend-/ { print $1; exit }' "$pids_file"; }
+
+kill_vm() {
+  local program
+  for program in entry lookup steer; do kill -9 "$(pid_of "$program-$1")"; done
+}
+kill_backend() { kill -9 "$(pid_of "$1")"; }
+
+stop_all() {
+  local pid
+  [ -f "$pids_file" ] || return 0
+  awk '{ print $2 }' "$pids_file" | while read -r pid; do kill -9 "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
--- /dev/null
+++ b/tools/rhubarb-entry/Entry.cpp
@@ -0,0 +1,268 @@
+#include "Entry.h"
+
+#include "net/Clock.h"
+#include "net/Log.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+namespace rhubarb::entry {
+namespace {
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::size_t MaxControlBytes = 16U << 20U;
+constexpr Duration StopPoll = 20ms;
+
+HttpServerLimits dataLimits(const Settings &Values) {
+  HttpServerLimits Limits;
+  Limits.m_MaxBodyBytes =
+      static_cast<std::size_t>(Values.number("entry.max_body_bytes"));
+  Limits.m_MaxConnections = static_cast<int>(Values.number("entry.max_connections"));
+  Limits.m_MaxConnectionsPerIp =
+      static_cast<int>(Values.number("entry.max_connections_per_ip"));
+  return Limits;
+}
+
+HttpServerLimits controlLimits() {
+  HttpServerLimits Limits;
+  Limits.m_MaxBodyBytes = MaxControlBytes;
+  return Limits;
+}
+
+HttpClientLimits clientLimits(const Settings &Values) {
+  HttpClientLimits Limits;
+  Limits.m_MaxBodyBytes =
+      static_cast<std::size_t>(Values.number("entry.max_body_bytes"));
+  return Limits;
+}
+
+HomeId ownHome(const Settings &Values) {
+  auto Ip = boost::asio::ip::make_address_v4(Values.text("vm.ip")).to_uint();
+  return {Ip, static_cast<std::uint16_t>(Values.number("entry.port")),
+          randomBits() | 1U};
+}
+
+KeyTableLimits keyLimits(const Settings &Values) {
+  KeyTableLimits Limits;
+  Limits.m_Lifetime = Values.millis("entry.key_lifetime_ms");
+  Limits.m_MaxKeys = static_cast<std::size_t>(Values.number("entry.max_keys"));
+  Limits.m_MaxAnswerBytes =
+      static_cast<std::size_t>(Values.number("entry.max_answer_bytes"));
+  return Limits;
+}
+
+} // namespace
+
+SettingTable entrySettings() {
+  return {
+      {"entry", "port", SettingKind::Number, "8080", 1, MaxPort, "port",
+       "callers' requests"},
+      {"entry", "control_port", SettingKind::Number, "8090", 1, MaxPort, "port",
+       "control messages and forwarded requests of other VMs"},
+      {"entry", "key_secret", SettingKind::Text, nullptr, 0, 0, "",
+       "signs key homes; the same on all VMs"},
+      {"entry", "key_lifetime_ms", SettingKind::Number, "600000", 1000, 86400000,
+       "ms", "a key runs or replays for this long after its issue"},
+      {"entry", "max_keys", SettingKind::Number, "200000", 100, 10000000, "keys",
+       "keys remembered; new ones are refused beyond"},
+      {"entry", "max_answer_bytes", SettingKind::Number, "67108864", 65536,
+       4294967296, "bytes", "stored answers; new keys are refused beyond"},
+      {"entry", "max_body_bytes", SettingKind::Number, "1048576", 1024, 67108864,
+       "bytes", "largest request body and largest answer body"},
+      {"entry", "max_connections", SettingKind::Number, "4000", 10, 100000,
+       "connections", "from all callers"},
+      {"entry", "max_connections_per_ip", SettingKind::Number, "1000", 1, 100000,
+       "connections", "from one caller's IP number"},
+      {"entry", "linger_ms", SettingKind::Number, "3000", 0, 600000, "ms",
+       "a planned stop serves on for this long while look-ups forget this VM"},
+      {"entry", "drain_ms", SettingKind::Number, "30000", 0, 600000, "ms",
+       "a planned stop waits this long at most for requests under way"},
+      {"entry", "load_poll_ms", SettingKind::Number, "500", 50, 60000, "ms",
+       "time between readings of a backend server's own report"},
+  };
+}
+
+PoolRuntime::PoolRuntime(const Pool &Settings)
+    : m_Name(Settings.m_Name), m_Queue([&] {
+        QueueLimits Limits;
+        Limits.m_ServiceGuess = Settings.m_ServiceTime;
+        return Limits;
+      }(), randomBits()) {}
+
+Entry::Entry(Daemon &Frame)
+    : m_Frame(Frame), m_Ip(Frame.m_Settings.text("vm.ip")),
+      m_Domain(Frame.m_Settings.text("vm.domain")),
+      m_Region(Frame.m_Settings.text("vm.region")),
+      m_Port(static_cast<std::uint16_t>(Frame.m_Settings.number("entry.port"))),
+      m_ControlPort(
+          static_cast<std::uint16_t>(Frame.m_Settings.number("entry.control_port"))),
+      m_Signer(Frame.m_Settings.text("entry.key_secret")),
+      m_Client(Frame.m_Io, Frame.m_Reach, m_Ip, clientLimits(Frame.m_Settings)),
+      m_Server(Frame.m_Io, Frame.m_Reach, dataLimits(Frame.m_Settings),
+               [this](HttpRequest Request) { return serve(std::move(Request)); }),
+      m_Control(
+          Frame.m_Io, Frame.m_Reach, controlLimits(),
+          [this](HttpRequest Request) { return serveControl(std::move(Request)); }),
+      m_Keys(ownHome(Frame.m_Settings), keyLimits(Frame.m_Settings)),
+      m_Servers(ServerLimits{}, randomBits()),
+      m_Desk(GrantLimits{}, (randomBits() >> 12U) + 1) {
+  m_Server.onRefusal(
+      [this](ErrorKind Kind) { m_Frame.m_Metrics.refused(Kind, ""); });
+  bindMethods();
+}
+
+Result<int> Entry::start() {
+  m_LastTick = now();
+  for (auto [Server, Port] : {std::pair(&m_Server, m_Port),
+                              std::pair(&m_Control, m_ControlPort)}) {
+    Result<std::uint16_t> Listening = Server->start(m_Ip, Port);
+    if (!Listening)
+      return Listening.error();
+  }
+  spawn(m_Frame.m_Io, tickLoop());
+  spawn(m_Frame.m_Io, pollLoads());
+  return 0;
+}
+
+// A planned stop: look-ups forget this VM first, then requests under way end,
+// then a neighbour takes the keys over, and answers for them.
+asio::awaitable<void> Entry::stop() {
+  const Settings &Values = m_Frame.m_Settings;
+  m_Leaving = true;
+  co_await sleepFor(Values.millis("entry.linger_ms"));
+  m_Closed = true;
+  m_Keys.closeToNew();
+  Time GiveUp = now() + Values.millis("entry.drain_ms");
+  while (!m_Pending.empty() && now() < GiveUp)
+    co_await sleepFor(StopPoll);
+  bool HandedOver = co_await handOverKeys();
+  logEvent(Severity::Info, "keys_handed_over",
+           {{"done", HandedOver ? "yes" : "no"},
+            {"keys", std::to_string(m_Keys.size())}});
+  // Passed keys are answered by the neighbour; pass them on until the news of
+  // the hand-over has spread.
+  if (HandedOver)
+    co_await sleepFor(Values.millis("entry.linger_ms"));
+  m_Server.stopAccepting();
+  while ((m_Server.active() > 0 || m_Control.active() > 0) && now() < GiveUp)
+    co_await sleepFor(StopPoll);
+  m_Control.stopAccepting();
+  m_Stopped = true;
+}
+
+Json::Value Entry::status() const {
+  Json::Value Json;
+  Json["vm"] = m_Ip;
+  Json["domain"] = m_Domain;
+  Json["revision"] = static_cast<Json::UInt64>(m_Config.m_Revision);
+  Json["config_known"] = m_ConfigKnown;
+  Json["leaving"] = m_Leaving;
+  Json["keys"] = static_cast<Json::UInt64>(m_Keys.size());
+  Json["key_answer_bytes"] = static_cast<Json::UInt64>(m_Keys.answerBytes());
+  Json["pending"] = static_cast<Json::UInt64>(m_Pending.size());
+  for (std::size_t I = 0; I < m_Pools.size(); ++I) {
+    int Pool = static_cast<int>(I);
+    Json::Value &Row = Json["pools"][m_Pools[I].m_Name];
+    const RankQueue &Queue = m_Pools[I].m_Queue;
+    Row["open"] = m_Servers.openSlots(Pool);
+    Row["busy"] = m_Servers.busySlots(Pool);
+    Row["granted_to_others"] = m_Desk.grantedSlots(Pool, now());
+    Row["urgent_reserve"] = Queue.urgentReserve();
+    for (Rank Value : {Rank::Urgent, Rank::Normal, Rank::Batch}) {
+      Json::Value &ByRank = Row["ranks"][std::string(rankName(Value))];
+      ByRank["waiting"] = Queue.waiting(Value);
+      ByRank["running"] = Queue.running(Value);
+      ByRank["mean_service_ms"] = static_cast<Json::Int64>(
+          Queue.meanService(Value) / std::chrono::milliseconds(1));
+    }
+  }
+  for (const GrantWallet::Held &Row : m_Wallet.rows())
+    if (Row.m_Slots > 0 && now() < Row.m_Until) {
+      Json::Value Held;
+      Held["peer"] = Row.m_Peer;
+      Held["slots"] = Row.m_Slots;
+      Held["busy"] = Row.m_Busy;
+      Json["grants_held"].append(Held);
+    }
+  for (const ServerRow &Row : m_Servers.rows())
+    if (Row.m_Present) {
+      Json::Value Server;
+      Server["address"] = Row.m_Listing.m_Address;
+      Server["open"] = Row.m_Open;
+      Server["busy"] = Row.m_Busy;
+      Server["slots"] = Row.m_Listing.m_Slots;
+      Server["ejected"] = Row.m_EjectedUntil != Time{0};
+      Json["servers"].append(Server);
+    }
+  return Json;
+}
+
+void Entry::updateGauges() {
+  Metrics &Values = m_Frame.m_Metrics;
+  Values.set("rhubarb_config_revision", {}, static_cast<double>(m_Config.m_Revision));
+  Values.set("rhubarb_keys", {}, static_cast<double>(m_Keys.size()));
+  for (std::size_t I = 0; I < m_Pools.size(); ++I) {
+    int Pool = static_cast<int>(I);
+    Labels Names{{"pool", m_Pools[I].m_Name}};
+    Values.set("rhubarb_slots_open", Names, m_Servers.openSlots(Pool));
+    Values.set("rhubarb_slots_busy", Names, m_Servers.busySlots(Pool));
+    Values.set("rhubarb_headroom_slots", Names, m_Servers.freeSlots(Pool));
+    Values.set("rhubarb_waiting", Names, m_Pools[I].m_Queue.waiting());
+  }
+  for (const auto &[Region, Share] : m_Links)
+    Values.set("rhubarb_link_sent_bytes", {{"to", Region}},
+               static_cast<double>(Share.chargedBytes()));
+}
+
+// GET /v1/explain?service=S: how a request of that service would be decided.
+asio::awaitable<HttpResponse> Entry::operate(HttpRequest Request) {
+  if (Request.path() != "/v1/explain")
+    co_return jsonResponse(404, "{\"error\":\"not_found\"}\n");
+  const Service *Found = m_Config.findService(Request.query("service"));
+  if (Found == nullptr)
+    co_return errorResponse(ErrorKind::UnknownService);
+  const Profile &Chosen = m_Config.m_Profiles[static_cast<std::size_t>(Found->m_Profile)];
+  const PoolRuntime &Pool = m_Pools[static_cast<std::size_t>(Found->m_Pool)];
+  Json::Value Json;
+  Json["service"] = Found->m_Name;
+  Json["profile"] = Chosen.m_Name;
+  Json["rank"] = std::string(rankName(Chosen.m_Rank));
+  Json["reach"] = std::string(reachName(Chosen.m_Reach));
+  Json["needs_key"] = !Chosen.m_Idempotent;
+  Json["pool"] = Pool.m_Name;
+  Json["open_slots"] = m_Servers.openSlots(Found->m_Pool);
+  Json["free_slots"] = m_Servers.freeSlots(Found->m_Pool);
+  Json["reserved_for_others"] = m_Desk.reserved(Found->m_Pool, Chosen.m_Rank, now());
+  Json["waiting_same_rank"] = Pool.m_Queue.waiting(Chosen.m_Rank);
+  Duration Wait = Pool.m_Queue.predictWait(Chosen.m_Rank);
+  Json["predicted_wait_ms"] = static_cast<Json::Int64>(
+      std::min<Duration>(Wait, 1h) / std::chrono::milliseconds(1));
+  Json["deadline_ms"] =
+      static_cast<Json::Int64>(Chosen.m_Deadline / std::chrono::milliseconds(1));
+  Json["grant_slots_held"] = m_Wallet.freeSlots(
+      Found->m_Pool, static_cast<int>(Chosen.m_Reach), now());
+  co_return jsonResponse(200, compactJson(Json) + "\n");
+}
+
+const SnapshotMember *Entry::findMember(const std::string &Ip) const {
+  for (const SnapshotMember &Member : m_Snapshot.m_Members)
+    if (Member.m_Ip == Ip)
+      return &Member;
+  return nullptr;
+}
+
+int Entry::distanceTo(const SnapshotMember &Member) const {
+  if (Member.m_Domain == m_Domain)
+    return 0;
+  return m_Config.regionOf(Member.m_Domain) == m_Region ? 1 : 2;
+}
+
+std::string Entry::controlAddress(const std::string &Ip) const {
+  return Ip + ":" + std::to_string(m_ControlPort);
+}
+
+LinkShare *Entry::linkTo(const std::string &Region) {
+  auto Found = m_Links.find(Region);
+  return Found == m_Links.end() ? nullptr : &Found->second;
+}
+
+} // namespace rhubarb::entry
--- /dev/null
+++ b/tools/rhubarb-entry/EntryControl.cpp
@@ -0,0 +1,352 @@
+// Control: snapshots of the agent, grants between entry processes, hand-over
+// of keys, periodic work.
+#include "Entry.h"
+
+#include "net/BackendProtocol.h"
+#include "net/Clock.h"
+#include "net/Log.h"
+#include "net/RpcCall.h"
+
+namespace rhubarb::entry {
+namespace {
+
+constexpr Duration TickInterval = 20ms;
+constexpr Duration FreezeGap = 1500ms; // Longer than this between ticks.
+constexpr Duration AskTimeout = 1s;
+constexpr Duration HandoverTimeout = 3s;
+constexpr int HandoverTries = 3;
+constexpr std::size_t HandoverPartBytes = 1U << 20U;
+constexpr std::size_t HandoverPartRows = 2000;
+
+} // namespace
+
+asio::awaitable<HttpResponse> Entry::serveControl(HttpRequest Request) {
+  const SnapshotMember *Member = findMember(Request.m_PeerIp);
+  if (Member == nullptr && Request.m_PeerIp != m_Ip) {
+    m_Frame.m_Metrics.refused(ErrorKind::PeerNotAllowed, "");
+    co_return errorResponse(ErrorKind::PeerNotAllowed);
+  }
+  if (!Request.header(GrantHeader).empty())
+    co_return co_await serveForwarded(std::move(Request));
+  if (Request.path() != "/rpc")
+    co_return errorResponse(ErrorKind::BadRequest, "takes /rpc");
+  co_return jsonResponse(200, m_Rpc.handle(Request.m_Body, Request.m_PeerIp));
+}
+
+void Entry::bindMethods() {
+  m_Rpc.addMethod("snapshot.put", [this](const Json::Value &Params, const std::string &Ip) {
+    if (Ip != m_Ip)
+      throw Json::RuntimeError("snapshots come from this VM only");
+    takeSnapshot(readSnapshot(Params[0]));
+    m_SnapshotHash = Params[1].asString();
+    return toJson(report());
+  });
+  m_Rpc.addMethod("snapshot.keep", [this](const Json::Value &Params, const std::string &Ip) {
+    if (Ip != m_Ip)
+      throw Json::RuntimeError("snapshots come from this VM only");
+    Json::Value Json = toJson(report());
+    Json["need"] = Params[0].asString() != m_SnapshotHash;
+    return Json;
+  });
+  m_Rpc.addMethod("grant.ask", [this](const Json::Value &Params, const std::string &Ip) {
+    return answerAsk(Params, Ip);
+  });
+  m_Rpc.addMethod("keys.adopt", [this](const Json::Value &Params, const std::string &) {
+    if (m_Leaving)
+      throw Json::RuntimeError("this VM is leaving too");
+    KeyHandover Taken = readKeyHandover(Params[0]);
+    m_Keys.adopt(Taken.m_Homes, Taken.m_Rows);
+    return Json::Value(Json::objectValue);
+  });
+}
+
+EntryReport Entry::report() const {
+  EntryReport Made;
+  Made.m_Incarnation = m_Keys.self().m_Incarnation;
+  Made.m_Revision = m_Config.m_Revision;
+  Made.m_Leaving = m_Leaving;
+  for (std::size_t I = 0; I < m_Pools.size(); ++I) {
+    int Pool = static_cast<int>(I);
+    int Free = m_Servers.freeSlots(Pool) - m_Desk.reserved(Pool, Rank::Urgent, now());
+    Made.m_Pools.push_back({m_Pools[I].m_Name, m_Servers.openSlots(Pool),
+                            std::max(Free, 0), m_Pools[I].m_Queue.waiting()});
+  }
+  for (const HomeId &Home : m_Keys.homes())
+    if (!(Home == m_Keys.self()))
+      Made.m_Adopted.push_back(homeText(Home));
+  return Made;
+}
+
+void Entry::takeSnapshot(const Snapshot &Taken) {
+  m_Snapshot = Taken;
+  if (Taken.m_ConfigKnown && Taken.m_Revision > m_Config.m_Revision)
+    applyConfig(Taken);
+  // An entry process that serves goes on; one that has just started waits.
+  m_ConfigKnown = m_ConfigKnown || (Taken.m_ConfigKnown && m_Config.m_Revision > 0);
+  applyServers();
+  for (std::size_t I = 0; I < m_Pools.size(); ++I)
+    pump(static_cast<int>(I));
+}
+
+void Entry::applyConfig(const Snapshot &Taken) {
+  ConfigCheck Check = checkConfig(Taken.m_Sections, Taken.m_Revision);
+  if (!Check.m_Faults.empty()) {
+    logEvent(Severity::Error, "config_rejected",
+             {{"revision", std::to_string(Taken.m_Revision)}});
+    m_Frame.m_Metrics.count("rhubarb_config_rejected_total");
+    return;
+  }
+  Configuration Next = std::move(Check.m_Configuration);
+  keepIndexes(m_Config, Next);
+  m_Config = std::move(Next);
+  for (std::size_t I = m_Pools.size(); I < m_Config.m_Pools.size(); ++I)
+    m_Pools.emplace_back(m_Config.m_Pools[I]);
+  std::vector<QueueProfile> Profiles;
+  constexpr double PercentToShare = 0.01;
+  for (const Profile &Row : m_Config.m_Profiles)
+    Profiles.push_back({Row.m_Rank, Row.m_Worth,
+                        Row.m_Removed ? 0.0 : Row.m_FloorPercent * PercentToShare});
+  for (PoolRuntime &Pool : m_Pools)
+    Pool.m_Queue.setProfiles(Profiles);
+  logEvent(Severity::Info, "config_in_force",
+           {{"revision", std::to_string(m_Config.m_Revision)}});
+}
+
+// Works out which backend servers this process owns.
+void Entry::applyServers() {
+  std::map<std::string, std::vector<std::string>> Live;
+  std::vector<std::string> LiveInRegion;
+  std::map<std::string, int> SourcesByRegion;
+  for (const SnapshotMember &Member : m_Snapshot.m_Members) {
+    std::string Region(m_Config.regionOf(Member.m_Domain));
+    ++SourcesByRegion[Region];
+    if (Member.m_State != MemberState::Live && Member.m_Ip != m_Ip)
+      continue;
+    Live[Member.m_Domain].push_back(Member.m_Ip);
+    if (Region == m_Region)
+      LiveInRegion.push_back(Member.m_Ip);
+  }
+  std::vector<ServerListing> Owned;
+  for (const ListedServer &Server : m_Snapshot.m_Servers) {
+    int Pool = m_Config.findPool(Server.m_Pool);
+    if (Pool < 0)
+      continue;
+    const auto &Own = Live[Server.m_Domain];
+    const auto &Members = Own.empty() ? LiveInRegion : Own;
+    int Owner = chooseOwner(Server.m_Address, Members);
+    if (Owner < 0 || Members[static_cast<std::size_t>(Owner)] != m_Ip)
+      continue;
+    bool Leaving = Server.m_Leaving || m_Config.isDrained(Server.m_Address) ||
+                   m_Draining.contains(Server.m_Address);
+    Owned.push_back({Server.m_Address, Pool,
+                     m_Config.m_Pools[static_cast<std::size_t>(Pool)].m_SlotsPerServer,
+                     Leaving});
+  }
+  m_Servers.update(Owned, now());
+  for (const Link &Row : m_Config.m_Links) {
+    if (Row.m_From != m_Region && Row.m_To != m_Region)
+      continue;
+    const std::string &Other = Row.m_From == m_Region ? Row.m_To : Row.m_From;
+    auto [Found, Added] = m_Links.try_emplace(Other, LinkLimits{}, now());
+    Found->second.setCap(Row.m_CapBytesPerSecond, SourcesByRegion[m_Region], now());
+  }
+}
+
+void Entry::markDraining(const std::string &Address) {
+  if (m_Draining.insert(Address).second) {
+    logEvent(Severity::Info, "server_draining", {{"server", Address}});
+    applyServers();
+  }
+}
+
+// Capacity is what the queue can fill: own slots and slots granted by others.
+// A process without either counts one while a peer could grant some.
+void Entry::updateCapacity(int Pool) {
+  int Own = m_Servers.openSlots(Pool) - m_Desk.grantedSlots(Pool, now());
+  int Held = 0;
+  for (const GrantWallet::Held &Row : m_Wallet.rows())
+    if (Row.m_Pool == Pool && now() < Row.m_Until)
+      Held += Row.m_Slots;
+  int Capacity = std::max(Own, 0) + Held;
+  if (Capacity == 0) {
+    const std::string &Name = m_Config.m_Pools[static_cast<std::size_t>(Pool)].m_Name;
+    for (const SnapshotMember &Member : m_Snapshot.m_Members)
+      for (const PoolSummary &Summary : Member.m_Pools)
+        if (Member.m_Ip != m_Ip && Member.m_State == MemberState::Live &&
+            Summary.m_Pool == Name && Summary.m_Open > 0)
+          Capacity = 1;
+  }
+  m_Pools[static_cast<std::size_t>(Pool)].m_Queue.setCapacity(Capacity);
+}
+
+Json::Value Entry::answerAsk(const Json::Value &Params, const std::string &PeerIp) {
+  std::string PoolName;
+  GrantAsk Ask = readGrantAsk(Params, PoolName);
+  Ask.m_Source = PeerIp;
+  Ask.m_Pool = m_Config.findPool(PoolName);
+  if (Ask.m_Pool < 0 || m_Leaving)
+    return toJson(Grant{});
+  const RankQueue &Queue = m_Pools[static_cast<std::size_t>(Ask.m_Pool)].m_Queue;
+  GrantRoom Room;
+  Room.m_FreeSlots = m_Servers.freeSlots(Ask.m_Pool);
+  Room.m_Waiting = Queue.waiting();
+  Room.m_FirstWaitingRank = Queue.firstWaitingRank().value_or(Rank::Batch);
+  return toJson(m_Desk.ask(Ask, Room, now()));
+}
+
+void Entry::planAsks(int Pool) {
+  const PoolRuntime &Runtime = m_Pools[static_cast<std::size_t>(Pool)];
+  std::optional<Rank> First = Runtime.m_Queue.firstWaitingRank();
+  if (!First)
+    return;
+  int Reach = 0;
+  for (const Profile &Row : m_Config.m_Profiles)
+    if (Row.m_Rank == *First)
+      Reach = std::max(Reach, static_cast<int>(Row.m_Reach));
+  std::vector<GrantCandidate> Candidates;
+  for (const SnapshotMember &Member : m_Snapshot.m_Members) {
+    if (Member.m_Ip == m_Ip || Member.m_State != MemberState::Live ||
+        distanceTo(Member) > Reach)
+      continue;
+    for (const PoolSummary &Summary : Member.m_Pools)
+      if (Summary.m_Pool == Runtime.m_Name && Summary.m_Open > 0)
+        Candidates.push_back({Member.m_Ip, distanceTo(Member), Summary.m_Free});
+  }
+  int Wanted = Runtime.m_Queue.waiting() - m_Wallet.freeSlots(Pool, Reach, now());
+  for (PlannedAsk &Ask : m_Wallet.plan(Pool, *First, Wanted, Candidates, now()))
+    spawn(m_Frame.m_Io, sendAsk(std::move(Ask)));
+}
+
+asio::awaitable<void> Entry::sendAsk(PlannedAsk Ask) {
+  GrantAsk Message;
+  Message.m_Source = m_Ip;
+  Message.m_Pool = Ask.m_Pool;
+  Message.m_Rank = Ask.m_Rank;
+  Message.m_Slots = Ask.m_Slots;
+  std::string PoolName = m_Config.m_Pools[static_cast<std::size_t>(Ask.m_Pool)].m_Name;
+  Time AskedAt = now();
+  Result<Json::Value> Got =
+      co_await callRpc(m_Client, controlAddress(Ask.m_Peer), "grant.ask",
+                       toJson(Message, PoolName), AskedAt + AskTimeout);
+  try {
+    if (Got)
+      m_Wallet.answered(Ask.m_Peer, Ask.m_Pool, readGrant(Got.value()), AskedAt);
+  } catch (const std::exception &Thrown) {
+    logEvent(Severity::Warning, "grant_unreadable", {{"error", Thrown.what()}});
+  }
+  m_Wallet.failed(Ask.m_Peer, Ask.m_Pool);
+  m_Frame.m_Metrics.count("rhubarb_grant_asks_total");
+  if (static_cast<std::size_t>(Ask.m_Pool) < m_Pools.size())
+    pump(Ask.m_Pool);
+}
+
+asio::awaitable<void> Entry::tickLoop() {
+  while (!m_Stopped) {
+    co_await sleepFor(TickInterval);
+    Time Now = now();
+    if (Now - m_LastTick > FreezeGap) {
+      // Another process may own these servers by now: start over with one slot
+      // each, as a new owner does.
+      logEvent(Severity::Warning, "woke_after_freeze",
+               {{"ms", std::to_string((Now - m_LastTick) / std::chrono::milliseconds(1))}});
+      m_Servers.reopenSlowly(Now);
+    }
+    m_LastTick = Now;
+    m_Servers.tick(Now);
+    m_Desk.tick(Now);
+    m_Client.tick(Now);
+    m_Keys.expire(unixMillis());
+    for (std::size_t I = 0; I < m_Pools.size(); ++I) {
+      int Pool = static_cast<int>(I);
+      m_Pools[I].m_Queue.tick(Now);
+      std::vector<RequestId> Late;
+      m_Pools[I].m_Queue.expire(Now, [&](RequestId Id) { Late.push_back(Id); });
+      for (RequestId Id : Late)
+        finish(m_Pending.at(Id), makeErrorAnswer(ErrorKind::DeadlinePassed));
+      pump(Pool);
+      planAsks(Pool);
+    }
+  }
+}
+
+// Reads the owned servers' own reports. Of these only the leaving is believed:
+// load is known exactly, from the slots in use here.
+asio::awaitable<void> Entry::pollLoads() {
+  Duration Interval = m_Frame.m_Settings.millis("entry.load_poll_ms");
+  while (!m_Stopped) {
+    co_await sleepFor(Interval);
+    for (const ServerRow &Row : m_Servers.rows()) {
+      if (!Row.m_Present)
+        continue;
+      spawn(m_Frame.m_Io, [](Entry *Self, std::string Address,
+                             Duration Limit) -> asio::awaitable<void> {
+        HttpRequest Request;
+        Request.m_Target = LoadPath;
+        HttpResult Got = co_await Self->m_Client.send(Address, std::move(Request),
+                                                      now() + Limit);
+        if (Got.m_Failure != HttpFailure::None)
+          co_return;
+        Result<Json::Value> Json = parseJson(Got.m_Response.m_Body);
+        if (!Json || !Json.value().isObject() || !Json.value()["draining"].isBool())
+          co_return;
+        if (Json.value()["draining"].asBool())
+          Self->markDraining(Address);
+        else if (Self->m_Draining.erase(Address) > 0)
+          Self->applyServers();
+      }(this, Row.m_Listing.m_Address, Interval));
+    }
+  }
+}
+
+// Gives up the keys for good and hands them to one neighbour. Only that one is
+// tried again: a second one could come to hold the right to run as well.
+asio::awaitable<bool> Entry::handOverKeys() {
+  std::string Chosen;
+  int BestDistance = 3;
+  for (const SnapshotMember &Member : m_Snapshot.m_Members)
+    if (Member.m_Ip != m_Ip && Member.m_State == MemberState::Live &&
+        Member.m_EntryIncarnation != 0 && distanceTo(Member) < BestDistance) {
+      Chosen = Member.m_Ip;
+      BestDistance = distanceTo(Member);
+    }
+  if (Chosen.empty())
+    co_return false;
+  KeyHandover Whole;
+  Whole.m_Rows = m_Keys.retire();
+  Whole.m_Homes = m_Keys.homes();
+  co_return co_await handOverTo(Chosen, std::move(Whole));
+}
+
+asio::awaitable<bool> Entry::handOverTo(std::string Vm, KeyHandover Whole) {
+  std::size_t At = 0;
+  bool Last = false;
+  while (!Last) {
+    KeyHandover Part;
+    std::size_t Bytes = 0;
+    while (At < Whole.m_Rows.size() && Bytes < HandoverPartBytes &&
+           Part.m_Rows.size() < HandoverPartRows) {
+      Bytes += Whole.m_Rows[At].m_Answer->bytes();
+      Part.m_Rows.push_back(Whole.m_Rows[At++]);
+    }
+    Last = At == Whole.m_Rows.size();
+    if (Last)
+      Part.m_Homes = Whole.m_Homes;
+    Json::Value Params(Json::arrayValue);
+    Params.append(toJson(Part));
+    bool Taken = false;
+    for (int Try = 0; Try < HandoverTries && !Taken; ++Try)
+      Taken = static_cast<bool>(co_await callRpc(m_Client, controlAddress(Vm),
+                                                 "keys.adopt", Params,
+                                                 now() + HandoverTimeout));
+    if (!Taken)
+      co_return false;
+  }
+  // From now on this process passes keyed requests to the neighbour.
+  for (SnapshotMember &Member : m_Snapshot.m_Members)
+    if (Member.m_Ip == Vm)
+      for (const HomeId &Home : Whole.m_Homes)
+        Member.m_Adopted.push_back(homeText(Home));
+  co_return true;
+}
+
+} // namespace rhubarb::entry
--- /dev/null
+++ b/tools/rhubarb-lookup/Lookup.cpp
@@ -0,0 +1,254 @@
+#include "Lookup.h"
+
+#include "net/Clock.h"
+#include "net/Log.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/ip/network_v4.hpp>
+
+#include <algorithm>
+#include <fstream>
+
+namespace rhubarb::lookup {
+namespace {
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::size_t MaxControlBytes = 16U << 20U;
+constexpr std::size_t MaxAnswerEntries = 6;
+constexpr Duration StopPoll = 20ms;
+
+HttpServerLimits controlLimits() {
+  HttpServerLimits Limits;
+  Limits.m_MaxBodyBytes = MaxControlBytes;
+  return Limits;
+}
+
+} // namespace
+
+SettingTable lookupSettings() {
+  return {
+      {"lookup", "port", SettingKind::Number, "8081", 1, MaxPort, "port",
+       "callers' look-ups"},
+      {"lookup", "control_port", SettingKind::Number, "8091", 1, MaxPort, "port",
+       "snapshots from the agent"},
+      {"lookup", "entry_port", SettingKind::Number, "8080", 1, MaxPort, "port",
+       "port of the entry processes, for answers"},
+      {"lookup", "ttl_ms", SettingKind::Number, "2000", 100, 600000, "ms",
+       "how long callers may use an answer"},
+      {"lookup", "linger_ms", SettingKind::Number, "1000", 0, 600000, "ms",
+       "a planned stop serves on for this long"},
+      {"lookup", "blocks_file", SettingKind::Text, "", 0, 0, "",
+       "client blocks, a line each: PREFIX/LENGTH DOMAIN; empty: none"},
+      {"entry", "key_secret", SettingKind::Text, nullptr, 0, 0, "",
+       "signs key homes; the same on all VMs"},
+  };
+}
+
+Lookup::Lookup(Daemon &Frame)
+    : m_Frame(Frame), m_Ip(Frame.m_Settings.text("vm.ip")),
+      m_Domain(Frame.m_Settings.text("vm.domain")),
+      m_Signer(Frame.m_Settings.text("entry.key_secret")),
+      m_Server(Frame.m_Io, Frame.m_Reach, HttpServerLimits{},
+               [this](HttpRequest Request) { return serve(std::move(Request)); }),
+      m_Control(
+          Frame.m_Io, Frame.m_Reach, controlLimits(),
+          [this](HttpRequest Request) { return serveControl(std::move(Request)); }) {
+  m_Rpc.addMethod("snapshot.put", [this](const Json::Value &Params, const std::string &Ip) {
+    return takeSnapshot(Params, Ip);
+  });
+  m_Rpc.addMethod("snapshot.keep", [this](const Json::Value &Params, const std::string &) {
+    Json::Value Json;
+    Json["need"] = Params[0].asString() != m_SnapshotHash;
+    return Json;
+  });
+}
+
+Result<int> Lookup::start() {
+  const Settings &Values = m_Frame.m_Settings;
+  if (!Values.text("lookup.blocks_file").empty()) {
+    Result<int> Loaded = loadBlocks(Values.text("lookup.blocks_file"));
+    if (!Loaded)
+      return Loaded.error();
+  }
+  for (auto [Server, Key] : {std::pair(&m_Server, "lookup.port"),
+                             std::pair(&m_Control, "lookup.control_port")}) {
+    Result<std::uint16_t> Listening =
+        Server->start(m_Ip, static_cast<std::uint16_t>(Values.number(Key)));
+    if (!Listening)
+      return Listening.error();
+  }
+  spawn(m_Frame.m_Io, steerLoop());
+  return 0;
+}
+
+asio::awaitable<void> Lookup::stop() {
+  co_await sleepFor(m_Frame.m_Settings.millis("lookup.linger_ms"));
+  m_Stopped = true;
+  m_Server.stopAccepting();
+  m_Control.stopAccepting();
+  while (m_Server.active() > 0)
+    co_await sleepFor(StopPoll);
+}
+
+Result<int> Lookup::loadBlocks(const std::string &File) {
+  std::ifstream Stream(File);
+  if (!Stream)
+    return Fault{ErrorKind::BadRequest, File + ": cannot be read"};
+  std::vector<ClientBlock> Blocks;
+  std::map<std::string, std::uint16_t> SiteIndex;
+  std::string Prefix;
+  std::string Domain;
+  for (int Line = 1; Stream >> Prefix >> Domain; ++Line) {
+    boost::system::error_code Error;
+    auto Network = boost::asio::ip::make_network_v4(Prefix, Error);
+    if (Error)
+      return Fault{ErrorKind::BadRequest,
+                   File + ": line " + std::to_string(Line) + ": '" + Prefix +
+                       "' is not PREFIX/LENGTH"};
+    auto [Found, Added] =
+        SiteIndex.emplace(Domain, static_cast<std::uint16_t>(m_Sites.size()));
+    if (Added)
+      m_Sites.push_back(Domain);
+    Blocks.push_back({Network.network().to_uint(),
+                      static_cast<std::uint8_t>(Network.prefix_length()),
+                      Found->second});
+  }
+  m_Blocks.build(std::move(Blocks));
+  return 0;
+}
+
+asio::awaitable<HttpResponse> Lookup::serveControl(HttpRequest Request) {
+  if (Request.m_PeerIp != m_Ip || Request.path() != "/rpc")
+    co_return refuse(ErrorKind::PeerNotAllowed);
+  co_return jsonResponse(200, m_Rpc.handle(Request.m_Body, Request.m_PeerIp));
+}
+
+Json::Value Lookup::takeSnapshot(const Json::Value &Params, const std::string &) {
+  m_Snapshot = readSnapshot(Params[0]);
+  m_SnapshotHash = Params[1].asString();
+  if (m_Snapshot.m_ConfigKnown && m_Snapshot.m_Revision > m_Config.m_Revision) {
+    ConfigCheck Check = checkConfig(m_Snapshot.m_Sections, m_Snapshot.m_Revision);
+    if (Check.m_Faults.empty()) {
+      m_Config = std::move(Check.m_Configuration);
+      m_ConfigKnown = true;
+      m_RegionOf.clear();
+      for (const FailureDomain &Row : m_Config.m_Domains)
+        m_RegionOf[Row.m_Name] = Row.m_Region;
+    }
+  }
+  return Json::Value(Json::objectValue);
+}
+
+std::vector<DomainLoad> Lookup::domainLoads() const {
+  std::map<std::string, DomainLoad> Loads;
+  std::map<std::string, std::pair<int, int>> Sums; // Open slots; work.
+  for (const FailureDomain &Row : m_Config.m_Domains)
+    Loads[Row.m_Name] = {Row.m_Name, Row.m_Region, false, 0, 0};
+  for (const SnapshotMember &Member : m_Snapshot.m_Members) {
+    auto Found = Loads.find(Member.m_Domain);
+    if (Found == Loads.end() || Member.m_State != MemberState::Live)
+      continue;
+    Found->second.m_Reachable |= Member.m_EntryIncarnation != 0;
+    for (const PoolSummary &Pool : Member.m_Pools) {
+      Found->second.m_Headroom += Pool.m_Free;
+      Sums[Member.m_Domain].first += Pool.m_Open;
+      Sums[Member.m_Domain].second += Pool.m_Open - Pool.m_Free + Pool.m_Waiting;
+    }
+  }
+  std::vector<DomainLoad> Rows;
+  for (auto &[Name, Load] : Loads) {
+    auto [Open, Work] = Sums[Name];
+    Load.m_Use = Open > 0 ? static_cast<double>(Work) / Open : 0;
+    Rows.push_back(Load);
+  }
+  return Rows;
+}
+
+asio::awaitable<void> Lookup::steerLoop() {
+  Duration Ttl = m_Frame.m_Settings.millis("lookup.ttl_ms");
+  while (!m_Stopped) {
+    m_Steering.step(domainLoads());
+    co_await sleepFor(Ttl);
+  }
+}
+
+HttpResponse Lookup::refuse(ErrorKind Kind, const std::string &Text) {
+  m_Frame.m_Metrics.refused(Kind, "");
+  return errorResponse(Kind, Text);
+}
+
+asio::awaitable<HttpResponse> Lookup::serve(HttpRequest Request) {
+  if (Request.path() != "/v1/lookup")
+    co_return refuse(ErrorKind::BadRequest, "takes GET /v1/lookup?service=NAME");
+  co_return answerLookup(Request);
+}
+
+// The caller's failure domain: by its block, or this VM's own.
+std::string Lookup::homeDomainOf(const HttpRequest &Request) const {
+  boost::system::error_code Error;
+  std::string Text(Request.query("caller"));
+  auto Ip = boost::asio::ip::make_address_v4(Text.empty() ? Request.m_PeerIp : Text,
+                                             Error);
+  std::uint16_t Site = Error ? NoSite : m_Blocks.find(Ip.to_uint());
+  return Site == NoSite ? m_Domain : m_Sites[Site];
+}
+
+HttpResponse Lookup::answerLookup(const HttpRequest &Request) {
+  if (!m_ConfigKnown)
+    return refuse(ErrorKind::NoConfiguration);
+  std::string Service(Request.query("service"));
+  const rhubarb::Service *Found = m_Config.findService(Service);
+  if (Found == nullptr)
+    return refuse(ErrorKind::UnknownService, "no service '" + Service + "'");
+  std::vector<EntryChoice> Entries;
+  std::map<std::string, std::uint64_t> Incarnations;
+  for (const SnapshotMember &Member : m_Snapshot.m_Members)
+    if (Member.m_State == MemberState::Live && Member.m_EntryIncarnation != 0) {
+      Entries.push_back({Member.m_Ip, Member.m_Domain});
+      Incarnations[Member.m_Ip] = Member.m_EntryIncarnation;
+    }
+  if (Entries.empty())
+    return refuse(ErrorKind::NoCapacity, "no entry VM is live");
+  std::string HomeDomain = homeDomainOf(Request);
+  std::string Caller(Request.query("caller"));
+  std::uint64_t Hash = stableHash(Caller.empty() ? Request.m_PeerIp : Caller);
+  std::string Seed(Request.query("spread"));
+  if (!Seed.empty())
+    Hash = stableHash(Seed, Hash);
+  std::vector<EntryChoice> Order =
+      orderEntries(Hash, HomeDomain, m_RegionOf[HomeDomain],
+                   m_Steering.sharesOf(HomeDomain), Entries, m_RegionOf);
+  auto Port = static_cast<std::uint16_t>(m_Frame.m_Settings.number("lookup.entry_port"));
+  Json::Value Json;
+  for (std::size_t I = 0; I < std::min(Order.size(), MaxAnswerEntries); ++I)
+    Json["entries"].append(Order[I].m_Vm + ":" + std::to_string(Port));
+  Json["ttl_ms"] = static_cast<Json::Int64>(m_Frame.m_Settings.number("lookup.ttl_ms"));
+  Json["revision"] = static_cast<Json::UInt64>(m_Config.m_Revision);
+  const Profile &Chosen =
+      m_Config.m_Profiles[static_cast<std::size_t>(Found->m_Profile)];
+  Json["rank"] = std::string(rankName(Chosen.m_Rank));
+  Json["needs_key"] = !Chosen.m_Idempotent;
+  auto HomeIp = boost::asio::ip::make_address_v4(Order.front().m_Vm).to_uint();
+  HomeId Home{HomeIp, Port, Incarnations[Order.front().m_Vm]};
+  Json["home"] = keyHomeText(m_Signer.sign(Home, unixMillis()));
+  m_Frame.m_Metrics.count("rhubarb_lookups_total", {{"service", Service}});
+  return jsonResponse(200, compactJson(Json) + "\n");
+}
+
+Json::Value Lookup::status() const {
+  Json::Value Json;
+  Json["vm"] = m_Ip;
+  Json["revision"] = static_cast<Json::UInt64>(m_Config.m_Revision);
+  Json["block_ranges"] = static_cast<Json::UInt64>(m_Blocks.rangeCount());
+  for (const FailureDomain &Row : m_Config.m_Domains)
+    for (const auto &[Domain, Share] : m_Steering.sharesOf(Row.m_Name))
+      Json["shares"][Row.m_Name][Domain] = Share;
+  return Json;
+}
+
+void Lookup::updateGauges() {
+  m_Frame.m_Metrics.set("rhubarb_config_revision", {},
+                        static_cast<double>(m_Config.m_Revision));
+}
+
+} // namespace rhubarb::lookup
--- /dev/null
+++ b/tools/rhubarb-steer/Agent.cpp
@@ -0,0 +1,208 @@
+#include "Agent.h"
+
+#include "net/Clock.h"
+#include "net/Log.h"
+#include "net/RpcCall.h"
+
+namespace rhubarb::steer {
+namespace {
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::size_t MaxControlBytes = 8U << 20U;
+constexpr Duration StoreSilentWarning = 15s;
+
+MemberLimits memberLimits(const Settings &Values) {
+  MemberLimits Limits;
+  Limits.m_Interval = Values.millis("steer.heartbeat_ms");
+  Limits.m_SilentAfter = Values.millis("steer.silent_ms");
+  Limits.m_Fanout = static_cast<int>(Values.number("steer.fanout"));
+  Limits.m_RelayedRows = static_cast<int>(Values.number("steer.relayed_rows"));
+  return Limits;
+}
+
+HttpServerLimits controlLimits() {
+  HttpServerLimits Limits;
+  Limits.m_MaxBodyBytes = MaxControlBytes;
+  return Limits;
+}
+
+} // namespace
+
+SettingTable agentSettings() {
+  return {
+      {"steer", "port", SettingKind::Number, "8082", 1, MaxPort, "port",
+       "agents of all VMs: JSON-RPC over TCP, heartbeats over UDP"},
+      {"steer", "entry_control", SettingKind::Number, "8090", 1, MaxPort, "port",
+       "control port of the entry processes"},
+      {"steer", "lookup_control", SettingKind::Number, "8091", 1, MaxPort, "port",
+       "control port of the look-up processes"},
+      {"steer", "heartbeat_ms", SettingKind::Number, "500", 50, 10000, "ms",
+       "time between heartbeats"},
+      {"steer", "silent_ms", SettingKind::Number, "2000", 200, 60000, "ms",
+       "a VM gets no new work after this long without news of it"},
+      {"steer", "fanout", SettingKind::Number, "4", 1, 64, "VMs",
+       "VMs of the own failure domain that get each heartbeat"},
+      {"steer", "relayed_rows", SettingKind::Number, "4", 0, 64, "rows",
+       "news of other VMs passed on with each heartbeat"},
+      {"steer", "push_ms", SettingKind::Number, "250", 50, 5000, "ms",
+       "time between pushes to the processes of this VM"},
+      {"steer", "watchers", SettingKind::Number, "2", 1, 16, "VMs",
+       "VMs of a failure domain that watch the store"},
+      {"steer", "store_wait_ms", SettingKind::Number, "10000", 100, 60000, "ms",
+       "longest wait of one watch"},
+      {"steer", "store_timeout_ms", SettingKind::Number, "2000", 100, 60000, "ms",
+       "longest wait for an answer of the store"},
+      {"steer", "list_refresh_ms", SettingKind::Number, "2000", 100, 60000, "ms",
+       "watchers read the backend server list at least this often"},
+      {"platform", "address", SettingKind::Address, nullptr, 0, 0, "",
+       "the platform's HTTP API"},
+  };
+}
+
+Agent::Agent(Daemon &Frame)
+    : m_Frame(Frame), m_Ip(Frame.m_Settings.text("vm.ip")),
+      m_Domain(Frame.m_Settings.text("vm.domain")),
+      m_Region(Frame.m_Settings.text("vm.region")),
+      m_Port(static_cast<std::uint16_t>(Frame.m_Settings.number("steer.port"))),
+      m_Client(Frame.m_Io, Frame.m_Reach, m_Ip),
+      m_Store(makeConsulStore(m_Client, Frame.m_Settings.list("platform.address"),
+                              Frame.m_Settings.millis("steer.store_timeout_ms"))),
+      m_Server(Frame.m_Io, Frame.m_Reach, controlLimits(),
+               [this](HttpRequest Request) { return serve(std::move(Request)); }),
+      m_Datagrams(Frame.m_Io, Frame.m_Reach,
+                  [this](const std::string &Text, const std::string &PeerIp) {
+                    m_Rpc.handle(Text, PeerIp);
+                  }),
+      m_Members(m_Ip, m_Domain, memberLimits(Frame.m_Settings)) {
+  auto Control = [&](const char *Key) {
+    return m_Ip + ":" + std::to_string(Frame.m_Settings.number(Key));
+  };
+  m_Consumers.push_back({"entry", Control("steer.entry_control"), "", false});
+  m_Consumers.push_back({"lookup", Control("steer.lookup_control"), "", false});
+  bindMethods();
+}
+
+void Agent::bindMethods() {
+  m_Rpc.addNotification("hb", [this](const Json::Value &Params, const std::string &Ip) {
+    takeHeartbeat(Params, Ip);
+    return Json::Value();
+  });
+  m_Rpc.addMethod("config.fetch", [this](const Json::Value &Params, const std::string &) {
+    return serveConfig(Params[0].asUInt64());
+  });
+  m_Rpc.addMethod("directory.fetch", [this](const Json::Value &, const std::string &) {
+    return toJson(m_Directory);
+  });
+}
+
+Result<int> Agent::start() {
+  m_Started = now();
+  m_Boot = static_cast<std::uint64_t>(unixMillis());
+  Result<std::uint16_t> Listening = m_Server.start(m_Ip, m_Port);
+  if (!Listening)
+    return Listening.error();
+  Result<int> Bound = m_Datagrams.start(m_Ip, m_Port);
+  if (!Bound)
+    return Bound.error();
+  spawn(m_Frame.m_Io, watchConfig());
+  spawn(m_Frame.m_Io, watchDirectory());
+  spawn(m_Frame.m_Io, heartbeatLoop());
+  spawn(m_Frame.m_Io, pushLoop());
+  return 0;
+}
+
+// The entry and look-up processes go on with their last snapshot.
+asio::awaitable<void> Agent::stop() {
+  m_Stopped = true;
+  m_Server.stopAccepting();
+  co_return;
+}
+
+asio::awaitable<HttpResponse> Agent::serve(HttpRequest Request) {
+  if (Request.path() != "/rpc" || !isMember(Request.m_PeerIp)) {
+    m_Frame.m_Metrics.refused(ErrorKind::PeerNotAllowed, "");
+    co_return errorResponse(ErrorKind::PeerNotAllowed);
+  }
+  co_return jsonResponse(200, m_Rpc.handle(Request.m_Body, Request.m_PeerIp));
+}
+
+Json::Value Agent::status() const {
+  Json::Value Json;
+  Json["vm"] = m_Ip;
+  Json["domain"] = m_Domain;
+  Json["region"] = m_Region;
+  Json["revision"] = static_cast<Json::UInt64>(m_Revision);
+  Json["highest_heard"] = static_cast<Json::UInt64>(m_HighestHeard);
+  Json["rejected_revision"] = static_cast<Json::UInt64>(m_RejectedRevision);
+  Json["config_known"] = mayServe();
+  Json["store_silent_ms"] = static_cast<Json::Int64>(
+      (now() - m_StoreHeard) / std::chrono::milliseconds(1));
+  Json["directory_index"] = static_cast<Json::UInt64>(m_Directory.m_Index);
+  Json["watches_store"] = m_Members.watchesStore(
+      static_cast<int>(m_Frame.m_Settings.number("steer.watchers")));
+  Json["sent_bytes"] = static_cast<Json::UInt64>(m_Datagrams.sentBytes());
+  Json["received_bytes"] = static_cast<Json::UInt64>(m_Datagrams.receivedBytes());
+  for (const MemberRow &Row : m_Members.rows()) {
+    Json::Value Member;
+    Member["vm"] = Row.m_Report.m_Vm;
+    Member["domain"] = Row.m_Report.m_Domain;
+    Member["state"] = std::string(memberStateName(Row.m_State));
+    Member["revision"] = static_cast<Json::UInt64>(Row.m_Report.m_Revision);
+    for (const PoolSummary &Pool : Row.m_Report.m_Pools) {
+      Json::Value &Summary = Member["pools"][Pool.m_Pool];
+      Summary["open"] = Pool.m_Open;
+      Summary["free"] = Pool.m_Free;
+      Summary["waiting"] = Pool.m_Waiting;
+    }
+    Json["members"].append(Member);
+  }
+  for (const auto &[Name, Action] : m_Warnings)
+    Json["warnings"][Name] = Action;
+  return Json;
+}
+
+void Agent::updateGauges() {
+  Metrics &Values = m_Frame.m_Metrics;
+  Values.set("rhubarb_config_revision", {}, static_cast<double>(m_Revision));
+  Values.set("rhubarb_control_sent_bytes", {},
+             static_cast<double>(m_Datagrams.sentBytes()));
+  Values.set("rhubarb_control_received_bytes", {},
+             static_cast<double>(m_Datagrams.receivedBytes()));
+  Values.set("rhubarb_rpc_malformed", {}, static_cast<double>(m_Rpc.malformed()));
+  std::map<std::string, int> ByState;
+  for (const MemberRow &Row : m_Members.rows())
+    ++ByState[std::string(memberStateName(Row.m_State))];
+  for (MemberState State : {MemberState::Unheard, MemberState::Live,
+                            MemberState::Silent, MemberState::Leaving}) {
+    std::string Name(memberStateName(State));
+    Values.set("rhubarb_members", {{"state", Name}}, ByState[Name]);
+  }
+}
+
+void Agent::setWarning(const std::string &Name, bool Raised,
+                       const std::string &Action) {
+  bool Was = m_Warnings.contains(Name);
+  if (Raised == Was)
+    return;
+  if (Raised) {
+    m_Warnings[Name] = Action;
+    m_Frame.m_Metrics.count("rhubarb_warnings_total", {{"warning", Name}});
+    logEvent(Severity::Warning, Name, {{"action", Action}});
+  } else {
+    m_Warnings.erase(Name);
+    logEvent(Severity::Info, "cleared", {{"warning", Name}});
+  }
+  m_Frame.m_Metrics.set("rhubarb_warning", {{"warning", Name}}, Raised ? 1 : 0);
+}
+
+void Agent::raiseWarnings() {
+  setWarning("config_rejected", m_RejectedRevision > m_Revision,
+             "the newest revision does not check; apply a corrected one");
+  bool Watches = m_Members.watchesStore(
+      static_cast<int>(m_Frame.m_Settings.number("steer.watchers")));
+  Time Since = std::max(m_StoreHeard, m_Started);
+  setWarning("store_silent", Watches && now() - Since > StoreSilentWarning,
+             "the platform's store does not answer; edits are not possible");
+}
+
+} // namespace rhubarb::steer
--- /dev/null
+++ b/tools/rhubarb-steer/AgentMembers.cpp
@@ -0,0 +1,153 @@
+// Members: heartbeats between agents, and the platform's list of VMs and
+// backend servers.
+#include "Agent.h"
+
+#include "net/Clock.h"
+#include "net/Log.h"
+#include "net/RpcCall.h"
+#include "net/RpcClientCodec.h"
+
+namespace rhubarb::steer {
+namespace {
+
+constexpr Duration ListRetryPause = 1s;
+constexpr Duration FetchTimeout = 2s;
+constexpr Duration StandbyPoll = 500ms;
+constexpr std::size_t MaxDatagramBytes = 1400;
+constexpr Duration EntryGone = 2s; // Without a report the entry is not offered.
+
+} // namespace
+
+asio::awaitable<void> Agent::watchDirectory() {
+  const Settings &Values = m_Frame.m_Settings;
+  int Watchers = static_cast<int>(Values.number("steer.watchers"));
+  Duration Refresh = Values.millis("steer.list_refresh_ms");
+  std::uint64_t WatchIndex = 0;
+  bool Listed = false;
+  while (!m_Stopped) {
+    if (Listed && !m_Members.watchesStore(Watchers)) {
+      WatchIndex = 0;
+      co_await sleepFor(StandbyPoll);
+      continue;
+    }
+    Result<Directory> Got = co_await m_Store.m_List(m_Region, WatchIndex, Refresh);
+    if (!Got) {
+      WatchIndex = 0;
+      m_Frame.m_Metrics.count("rhubarb_store_failures_total");
+      co_await sleepFor(ListRetryPause);
+      continue;
+    }
+    Listed = true;
+    WatchIndex = Got.value().m_Index;
+    takeDirectory(Got.value());
+    co_await sleepFor(Refresh / 4);
+  }
+}
+
+void Agent::takeDirectory(const Directory &Listed) {
+  if (Listed.m_Index <= m_Directory.m_Index)
+    return;
+  m_Directory = Listed;
+  std::vector<MemberTable::Listing> Rows;
+  for (const ListedVm &Vm : Listed.m_Vms)
+    Rows.push_back({Vm.m_Ip, Vm.m_Domain, Vm.m_Leaving});
+  m_Members.setListing(Rows, now());
+}
+
+asio::awaitable<void> Agent::fetchDirectoryFrom(std::string Vm) {
+  m_FetchingDirectory = true;
+  Result<Json::Value> Got = co_await callRpc(
+      m_Client, Vm + ":" + std::to_string(m_Port), "directory.fetch",
+      Json::Value(Json::arrayValue), now() + FetchTimeout);
+  m_FetchingDirectory = false;
+  if (!Got)
+    co_return;
+  try {
+    takeDirectory(readDirectory(Got.value()));
+  } catch (const std::exception &Thrown) {
+    logEvent(Severity::Warning, "directory_unreadable",
+             {{"from", Vm}, {"error", Thrown.what()}});
+  }
+}
+
+bool Agent::isMember(const std::string &Ip) const {
+  return m_Members.find(Ip) != nullptr;
+}
+
+MemberReport Agent::ownReport() {
+  MemberReport Report;
+  Report.m_Vm = m_Ip;
+  Report.m_Domain = m_Domain;
+  Report.m_Boot = m_Boot;
+  Report.m_Sequence = ++m_Sequence;
+  Report.m_Revision = m_SeenRevision;
+  Report.m_DirectoryIndex = m_Directory.m_Index;
+  bool EntryUp = m_Entry.m_Incarnation != 0 && now() - m_EntryHeard < EntryGone;
+  Report.m_EntryIncarnation = EntryUp ? m_Entry.m_Incarnation : 0;
+  Report.m_Leaving = m_Leaving || m_Entry.m_Leaving;
+  if (EntryUp) {
+    Report.m_Pools = m_Entry.m_Pools;
+    Report.m_Adopted = m_Entry.m_Adopted;
+  }
+  return Report;
+}
+
+asio::awaitable<void> Agent::heartbeatLoop() {
+  Duration Interval = m_Frame.m_Settings.millis("steer.heartbeat_ms");
+  while (!m_Stopped) {
+    sendHeartbeats();
+    m_Members.tick(now());
+    m_Client.tick(now());
+    raiseWarnings();
+    co_await sleepFor(Interval);
+  }
+}
+
+void Agent::sendHeartbeats() {
+  m_Members.setSelf(ownReport(), now());
+  const MemberReport &Own = m_Members.find(m_Ip)->m_Report;
+  for (const std::string &Vm : m_Members.contacts(m_Round)) {
+    Heartbeat Message;
+    Message.m_Rows.push_back({Own, Duration{0}});
+    for (RelayedReport &Row : m_Members.rowsToRelay(now()))
+      if (Row.m_Report.m_Vm != Vm)
+        Message.m_Rows.push_back(std::move(Row));
+    std::string Text = encodeNotification("hb", toJson(Message));
+    while (Text.size() > MaxDatagramBytes && Message.m_Rows.size() > 1) {
+      Message.m_Rows.pop_back();
+      Text = encodeNotification("hb", toJson(Message));
+    }
+    m_Datagrams.send(Vm, m_Port, Text);
+  }
+  ++m_Round;
+}
+
+void Agent::takeHeartbeat(const Json::Value &Params, const std::string &PeerIp) {
+  if (!isMember(PeerIp)) {
+    m_Frame.m_Metrics.refused(ErrorKind::PeerNotAllowed, "");
+    return;
+  }
+  for (RelayedReport &Row : readHeartbeat(Params).m_Rows) {
+    const MemberRow *Known = m_Members.find(Row.m_Report.m_Vm);
+    if (Known == nullptr)
+      continue;
+    Row.m_Report.m_Domain = Known->m_Report.m_Domain; // From the list, not sent.
+    if (m_Members.observe(Row.m_Report, Row.m_Age, now()) &&
+        Row.m_Report.m_Vm == PeerIp)
+      catchUpWith(Row.m_Report);
+  }
+}
+
+// Fetches from a neighbour what it has newer than this VM.
+void Agent::catchUpWith(const MemberReport &Report) {
+  m_HighestHeard = std::max(m_HighestHeard, Report.m_Revision);
+  if (Report.m_Revision > m_SeenRevision && !m_FetchingConfig)
+    spawn(m_Frame.m_Io, fetchConfigFrom(Report.m_Vm));
+  const MemberRow *Row = m_Members.find(Report.m_Vm);
+  bool SameRegion = Row != nullptr && Row->m_Report.m_Domain == m_Domain;
+  if (Report.m_DirectoryIndex > m_Directory.m_Index && SameRegion &&
+      !m_FetchingDirectory)
+    spawn(m_Frame.m_Io, fetchDirectoryFrom(Report.m_Vm));
+}
+
+} // namespace rhubarb::steer
--- /dev/null
+++ b/tools/rhubarb-steer/AgentSnapshot.cpp
@@ -0,0 +1,79 @@
+// Snapshots to the processes of this VM. A consumer that already has the newest
+// one gets a short sign of life instead.
+#include "Agent.h"
+
+#include "net/Clock.h"
+#include "net/Log.h"
+#include "net/RpcCall.h"
+
+namespace rhubarb::steer {
+namespace {
+
+constexpr Duration PushTimeout = 1s;
+
+} // namespace
+
+Snapshot Agent::makeSnapshot() const {
+  Snapshot Made;
+  Made.m_ConfigKnown = mayServe();
+  Made.m_Revision = m_Revision;
+  Made.m_Sections = m_Sections;
+  for (const MemberRow &Row : m_Members.rows()) {
+    const MemberReport &Report = Row.m_Report;
+    Made.m_Members.push_back({Report.m_Vm, Report.m_Domain, Row.m_State,
+                              Report.m_EntryIncarnation, Report.m_Adopted,
+                              Report.m_Pools});
+  }
+  Made.m_Servers = m_Directory.m_Servers;
+  return Made;
+}
+
+asio::awaitable<void> Agent::pushLoop() {
+  Duration Interval = m_Frame.m_Settings.millis("steer.push_ms");
+  for (Consumer &Target : m_Consumers)
+    spawn(m_Frame.m_Io, [](Agent *Self, Consumer *To,
+                           Duration Pause) -> asio::awaitable<void> {
+      while (!Self->m_Stopped) {
+        co_await Self->push(*To);
+        co_await sleepFor(Pause);
+      }
+    }(this, &Target, Interval));
+  co_return;
+}
+
+asio::awaitable<void> Agent::push(Consumer &Target) {
+  Json::Value Whole = toJson(makeSnapshot());
+  std::string Hash = std::to_string(stableHash(compactJson(Whole)));
+  bool Known = Target.m_PushedHash == Hash;
+  Json::Value Params(Json::arrayValue);
+  if (Known) {
+    Params.append(Hash);
+  } else {
+    Whole["sequence"] = static_cast<Json::UInt64>(++m_SnapshotSequence);
+    Params.append(std::move(Whole));
+    Params.append(Hash);
+  }
+  Result<Json::Value> Got =
+      co_await callRpc(m_Client, Target.m_Address,
+                       Known ? "snapshot.keep" : "snapshot.put", std::move(Params),
+                       now() + PushTimeout);
+  bool Taken = Got && Got.value().isObject() && !Got.value()["need"].asBool();
+  Target.m_PushedHash = Taken ? Hash : "";
+  if (Target.m_Up != static_cast<bool>(Got))
+    logEvent(Severity::Info, Got ? "process_up" : "process_down",
+             {{"process", Target.m_Name}});
+  Target.m_Up = static_cast<bool>(Got);
+  if (Taken && Target.m_Name == "entry")
+    takeEntryReport(Got.value());
+}
+
+void Agent::takeEntryReport(const Json::Value &Json) {
+  try {
+    m_Entry = readEntryReport(Json);
+    m_EntryHeard = now();
+  } catch (const std::exception &Thrown) {
+    logEvent(Severity::Warning, "entry_report_unreadable", {{"error", Thrown.what()}});
+  }
+}
+
+} // namespace rhubarb::steer
