--- a/include/rhubarb/Keys.h
+++ b/include/rhubarb/Keys.h
@@ -101,6 +101,13 @@
   std::int64_t m_ExpiresMs = 0;
   KeyState m_State = KeyState::Unknown;
   AnswerPtr m_Answer;
+  int m_LastTry = 0;
+};
+
+// What a retired home hands to one neighbour.
+struct KeyHandover {
+  std::vector<HomeId> m_Homes; // Taken over once all rows have arrived.
+  std::vector<KeyHandoverRow> m_Rows;
 };
 
 struct KeyTableLimits {
@@ -117,9 +124,12 @@
   KeyTable(HomeId Self, KeyTableLimits Limits);
 
   // Decides about an arrival. Fingerprint binds the key to one request;
-  // NowMs is Unix time on a clock of the process that never goes back.
+  // NowMs is Unix time on a clock of the process that never goes back. Try
+  // counts the caller's sendings of the key from 1; 0: not stated. A key that
+  // was refused as not run runs again only for a later try, so that an earlier
+  // one that was held up on its way cannot make the refusal untrue.
   KeyAdmission admit(const RequestKey &Key, std::uint64_t Fingerprint,
-                     std::int64_t NowMs);
+                     std::int64_t NowMs, int Try = 0);
   // Records that bytes may reach a backend server from now on. Returns false
   // when the key must not be sent (not queued, or given up).
   bool markSent(const std::string &Key);
@@ -136,13 +146,14 @@
   // Refuses keys that have not been seen yet; attempts under way go on.
   void closeToNew() { m_Closed = true; }
   // Gives up this home for good: no key runs here any more, every row is
-  // returned. Attempts still under way are handed over as unknown.
-  std::vector<KeyHandoverRow> retire();
+  // returned. Attempts still under way are handed over as unknown. Only the
+  // first call returns homes: a second hand-over could give a second table the
+  // right to run.
+  KeyHandover retire();
   // Takes over homes that have given up for good, with all of their rows. A
   // key that is not among the rows never ran there and may run here. Hand one
   // home to one table only: two would both have the right to run its keys.
-  void adopt(const std::vector<HomeId> &Retired,
-             const std::vector<KeyHandoverRow> &Rows);
+  void adopt(const KeyHandover &Taken);
   // Returns this home and every adopted one.
   std::vector<HomeId> homes() const;
   // Returns whether this table answers for Home.
@@ -158,12 +169,13 @@
     KeyState m_State = KeyState::Queued;
     std::uint64_t m_Fingerprint = 0;
     std::int64_t m_ExpiresMs = 0;
+    int m_LastTry = 0;
     AnswerPtr m_Answer;
     std::vector<std::function<void(AnswerPtr)>> m_Joined;
   };
 
   KeyAdmission refuse(ErrorKind Kind) const { return {KeyVerdict::Refused, Kind, {}}; }
-  KeyAdmission admitKnown(Row &Known, std::uint64_t Fingerprint);
+  KeyAdmission admitKnown(Row &Known, std::uint64_t Fingerprint, int Try);
   void storeAnswer(Row &Target, AnswerPtr Result);
 
   HomeId m_Self;
--- a/include/rhubarb/Retry.h
+++ b/include/rhubarb/Retry.h
@@ -8,12 +8,14 @@
 struct RetryLimits {
   double m_Share = 0.1;     // Retries per first try.
   double m_MaxSaved = 10.0; // Retries that a quiet time can save up.
+  double m_AtStart = 3.0;   // So that the very first calls can be retried.
 };
 
 // Token bucket filled by first tries, emptied by retries.
 class RetryBudget {
 public:
-  explicit RetryBudget(RetryLimits Limits = {}) : m_Limits(Limits) {}
+  explicit RetryBudget(RetryLimits Limits = {})
+      : m_Limits(Limits), m_Tokens(Limits.m_AtStart) {}
 
   // Records a first try.
   void firstTry();
@@ -22,7 +24,7 @@
 
 private:
   RetryLimits m_Limits;
-  double m_Tokens = 0;
+  double m_Tokens;
 };
 
 } // namespace rhubarb
--- a/lib/Keys.cpp
+++ b/lib/Keys.cpp
@@ -115,7 +115,7 @@
     : m_Self(Self), m_Limits(Limits) {}
 
 KeyAdmission KeyTable::admit(const RequestKey &Key, std::uint64_t Fingerprint,
-                             std::int64_t NowMs) {
+                             std::int64_t NowMs, int Try) {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   std::int64_t LifetimeMs = duration_cast<milliseconds>(m_Limits.m_Lifetime).count();
@@ -129,7 +129,7 @@
   std::string Text = Key.text();
   auto Found = m_Rows.find(Text);
   if (Found != m_Rows.end())
-    return admitKnown(Found->second, Fingerprint);
+    return admitKnown(Found->second, Fingerprint, Try);
   if (!answersFor(Key.m_Home.m_Home))
     return refuse(ErrorKind::HomeGone);
   if (m_Closed)
@@ -140,20 +140,27 @@
   Row &Added = m_Rows[Text];
   Added.m_Fingerprint = Fingerprint;
   Added.m_ExpiresMs = ExpiresMs;
+  Added.m_LastTry = Try;
   m_ExpiryHeap.emplace_back(-ExpiresMs, std::move(Text));
   std::push_heap(m_ExpiryHeap.begin(), m_ExpiryHeap.end());
   return {KeyVerdict::Run, ErrorKind::None, {}};
 }
 
-KeyAdmission KeyTable::admitKnown(Row &Known, std::uint64_t Fingerprint) {
+KeyAdmission KeyTable::admitKnown(Row &Known, std::uint64_t Fingerprint,
+                                  int Try) {
   if (Known.m_Fingerprint != Fingerprint)
     return refuse(ErrorKind::KeyReused);
+  bool HeldUp = Try != 0 && Try <= Known.m_LastTry;
+  Known.m_LastTry = std::max(Known.m_LastTry, Try);
   switch (Known.m_State) {
   case KeyState::Queued:
   case KeyState::Sent:
     return {KeyVerdict::Join, ErrorKind::None, {}};
   case KeyState::NotRun:
-    if (m_Closed)
+    // The neighbour that took over may run it for a later try.
+    if (m_Retired)
+      return refuse(ErrorKind::HomeGone);
+    if (m_Closed || HeldUp)
       return {KeyVerdict::Replay, ErrorKind::None, Known.m_Answer};
     Known.m_State = KeyState::Queued;
     return {KeyVerdict::Run, ErrorKind::None, {}};
@@ -236,34 +243,38 @@
   }
 }
 
-std::vector<KeyHandoverRow> KeyTable::retire() {
+KeyHandover KeyTable::retire() {
+  KeyHandover Whole;
+  if (m_Retired)
+    return Whole;
   m_Closed = true;
   m_Retired = true;
-  std::vector<KeyHandoverRow> Rows;
-  Rows.reserve(m_Rows.size());
+  Whole.m_Homes = homes();
+  Whole.m_Rows.reserve(m_Rows.size());
   for (auto &[Key, Value] : m_Rows) {
     bool UnderWay =
         Value.m_State == KeyState::Queued || Value.m_State == KeyState::Sent;
     AnswerPtr Final =
         UnderWay ? makeErrorAnswer(ErrorKind::HomeGone) : Value.m_Answer;
-    Rows.push_back({Key, Value.m_Fingerprint, Value.m_ExpiresMs,
-                    UnderWay ? KeyState::Unknown : Value.m_State, Final});
+    Whole.m_Rows.push_back({Key, Value.m_Fingerprint, Value.m_ExpiresMs,
+                            UnderWay ? KeyState::Unknown : Value.m_State, Final,
+                            Value.m_LastTry});
   }
-  return Rows;
+  return Whole;
 }
 
-void KeyTable::adopt(const std::vector<HomeId> &Retired,
-                     const std::vector<KeyHandoverRow> &Rows) {
-  for (const HomeId &Home : Retired)
+void KeyTable::adopt(const KeyHandover &Taken) {
+  for (const HomeId &Home : Taken.m_Homes)
     if (!answersFor(Home))
       m_Adopted.push_back(Home);
-  for (const KeyHandoverRow &Source : Rows) {
+  for (const KeyHandoverRow &Source : Taken.m_Rows) {
     if (m_Rows.contains(Source.m_Key) || !Source.m_Answer)
       continue;
     Row &Target = m_Rows[Source.m_Key];
     Target.m_State = Source.m_State;
     Target.m_Fingerprint = Source.m_Fingerprint;
     Target.m_ExpiresMs = Source.m_ExpiresMs;
+    Target.m_LastTry = Source.m_LastTry;
     storeAnswer(Target, Source.m_Answer);
     m_ExpiryHeap.emplace_back(-Source.m_ExpiresMs, Source.m_Key);
     std::push_heap(m_ExpiryHeap.begin(), m_ExpiryHeap.end());
--- a/net/BackendProtocol.h
+++ b/net/BackendProtocol.h
@@ -24,6 +24,8 @@
 inline constexpr const char *ServiceHeader = "Rhubarb-Service";
 inline constexpr const char *GrantHeader = "Rhubarb-Grant";
 inline constexpr const char *PassedHeader = "Rhubarb-Passed";
+// Counts a caller's sendings of one key, from 1.
+inline constexpr const char *TryHeader = "Rhubarb-Try";
 inline constexpr const char *OutcomeHeader = "Rhubarb-Outcome";
 inline constexpr const char *ReasonHeader = "Rhubarb-Reason";
 // On answers with outcome unknown: this attempt itself did not run. A caller
--- a/net/Caller.cpp
+++ b/net/Caller.cpp
@@ -29,7 +29,10 @@
 // An answer past its TTL is used on when no look-up process can be reached.
 asio::awaitable<Caller::Cached *>
 Caller::lookUp(const std::string &Service, bool Refresh, Time Deadline) {
-  Cached &Entry = m_Cache[Service];
+  auto [Place, Added] = m_Cache.try_emplace(Service);
+  Cached &Entry = Place->second;
+  if (Added)
+    Entry.m_Budget = RetryBudget(m_Options.m_Retries);
   if (!Refresh && now() < Entry.m_Until)
     co_return &Entry;
   for (std::size_t Try = 0; Try < m_Options.m_Lookups.size(); ++Try) {
@@ -126,9 +129,11 @@
     constexpr std::int64_t LeastMs = 10;
     Sent.m_Headers.push_back(
         {DeadlineHeader, std::to_string(std::max(LeftMs, LeastMs))});
-    if (NeedsKey)
-      Sent.m_Headers.push_back({KeyHeader, Key});
     ++End.m_Attempts;
+    if (NeedsKey) {
+      Sent.m_Headers.push_back({KeyHeader, Key});
+      Sent.m_Headers.push_back({TryHeader, std::to_string(End.m_Attempts)});
+    }
     HttpResult Got = co_await m_Client.send(Entry, std::move(Sent), Deadline);
     Attempt Ended = judge(Got, NeedsKey, End);
     MayHaveRun = MayHaveRun || Ended.m_MayHaveRun;
--- a/net/Caller.h
+++ b/net/Caller.h
@@ -12,7 +12,7 @@
   std::string m_BindIp;               // Own IP number; empty: any.
   Duration m_Deadline = 2s;           // Of one call, with all of its attempts.
   int m_MaxAttempts = 6;
-  RetryLimits m_Retries = {0.2, 20.0};
+  RetryLimits m_Retries = {0.2, 20.0, 5.0};
 };
 
 struct Call {
--- a/net/Messages.cpp
+++ b/net/Messages.cpp
@@ -323,6 +323,7 @@
     Row.append(static_cast<Json::Int64>(Source.m_ExpiresMs));
     Row.append(static_cast<int>(Source.m_State));
     Row.append(answerObject(*Source.m_Answer));
+    Row.append(Source.m_LastTry);
     Rows.append(std::move(Row));
   }
   Json["rows"] = std::move(Rows);
@@ -341,10 +342,10 @@
                                Row[2].asUInt64()});
   }
   for (const Value &Row : Json["rows"]) {
-    requireArray(Row, 5);
+    requireArray(Row, 6);
     Message.m_Rows.push_back({Row[0].asString(), Row[1].asUInt64(), Row[2].asInt64(),
                               static_cast<KeyState>(Row[3].asInt()),
-                              readAnswer(Row[4])});
+                              readAnswer(Row[4]), Row[5].asInt()});
   }
   return Message;
 }
--- a/net/Messages.h
+++ b/net/Messages.h
@@ -78,12 +78,6 @@
   std::vector<std::string> m_Adopted;
 };
 
-// Hand-over of keys to the neighbour that answers for a retired home.
-struct KeyHandover {
-  std::vector<HomeId> m_Homes; // In the last part only.
-  std::vector<KeyHandoverRow> m_Rows;
-};
-
 Json::Value toJson(const Heartbeat &Message);
 Json::Value toJson(const Directory &Message);
 Json::Value toJson(const Snapshot &Message);
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -8,7 +8,7 @@
 platform=127.$net.0.1:8500
 secret=loopback-only
 pids_file=$run/pids
-extra_settings=${RHUBARB_SETTINGS:-}
+entry_settings=${RHUBARB_ENTRY_SETTINGS:-}
 
 domains_of() {
   case "$1" in
@@ -41,6 +41,7 @@
   local name=$1; shift
   "$@" >"$run/log/$name.log" 2>&1 &
   echo "$name $!" >>"$pids_file"
+  disown
 }
 
 pid_of() { awk -v name="$1" '$1 == name { pid = $2 } END { print pid }' "$pids_file"; }
@@ -65,9 +66,9 @@
   local domain=$1 ip=$2 region
   region=$(region_of "$domain")
   local common="--set=vm.ip=$ip --set=vm.domain=$domain --set=vm.region=$region
-    --set=operator.ip=$ip --set=testing.faults=yes $extra_settings"
+    --set=operator.ip=$ip --set=testing.faults=yes"
   start "entry-$ip" "$bin/rhubarb-entry" $common --set=operator.port=9080 \
-    --set=entry.key_secret=$secret
+    --set=entry.key_secret=$secret $entry_settings
   start "lookup-$ip" "$bin/rhubarb-lookup" $common --set=operator.port=9081 \
     --set=entry.key_secret=$secret
   start "steer-$ip" "$bin/rhubarb-steer" $common --set=operator.port=9082 \
@@ -142,11 +143,33 @@
   local program
   for program in entry lookup steer; do kill -9 "$(pid_of "$program-$1")"; done
 }
+# Sends a signal to one program of a VM, or waits for its end.
+signal() { kill "-$3" "$(pid_of "$1-$2")"; }
+wait_end() {
+  local tries=${3:-200}
+  while kill -0 "$(pid_of "$1-$2")" 2>/dev/null; do
+    tries=$((tries - 1))
+    [ $tries -gt 0 ] || { echo "$1 of $2 does not end" >&2; return 1; }
+    sleep 0.1
+  done
+}
+
+# Switches faults of the platform, a backend server, or a VM's three programs.
+platform_faults() { curl -s -o /dev/null -X POST "http://$platform/faults?$1"; }
+backend_faults() { curl -s -o /dev/null -X POST "http://$1/faults?$2"; }
+cut_vm() { # IP PREFIXES
+  local port
+  for port in 9080 9081 9082; do
+    curl -s -o /dev/null -X POST "http://$1:$port/v1/faults?cut=$2"
+  done
+}
+backend_report() { curl -s "http://$1/rhubarb/load"; }
+backends() { awk '$1 ~ /^backend-/ { sub("backend-", "", $1); print $1 }' "$pids_file"; }
+
 kill_backend() { kill -9 "$(pid_of "$1")"; }
 
 stop_all() {
   local pid
   [ -f "$pids_file" ] || return 0
   awk '{ print $2 }' "$pids_file" | while read -r pid; do kill -9 "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
 }
--- /dev/null
+++ b/test/ConfigTest.cpp
@@ -0,0 +1,134 @@
+#include "rhubarb/Config.h"
+#include "rhubarb/Retry.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarb;
+
+namespace {
+
+ConfigSections goodSections() {
+  return {{"profile paid", {{"urgency", "urgent"}, {"reach", "global"}}},
+          {"profile slow", {{"urgency", "batch"}, {"floor_percent", "10"}}},
+          {"pool p", {{"slots", "3"}}},
+          {"service pay", {{"profile", "paid"}, {"pool", "p"}}},
+          {"service stamp", {{"profile", "slow"}, {"pool", "p"}}},
+          {"domain a-1", {{"region", "a"}}},
+          {"domain b-1", {{"region", "b"}}},
+          {"link a b", {{"cap_mbit", "100"}}}};
+}
+
+} // namespace
+
+TEST_SUITE("config") {
+  TEST_CASE("a good document") {
+    ConfigCheck Check = checkConfig(goodSections(), 7);
+    CHECK(Check.m_Faults.empty());
+    const Configuration &Config = Check.m_Configuration;
+    CHECK(Config.m_Revision == 7);
+    REQUIRE(Config.findService("pay") != nullptr);
+    CHECK(Config.findService("none") == nullptr);
+    CHECK(Config.regionOf("b-1") == "b");
+    CHECK(Config.m_Links[0].m_CapBytesPerSecond == 12500000);
+  }
+
+  TEST_CASE("every fault is named, with section, key and value") {
+    struct Row {
+      const char *m_Section, *m_Key, *m_Value;
+    };
+    for (const Row &Case :
+         {Row{"profile paid", "urgency", "asap"}, Row{"profile paid", "worth", "0"},
+          Row{"profile paid", "floor_percent", "51"},
+          Row{"profile paid", "deadline_ms", "1x"}, Row{"profile paid", "speed", "1"},
+          Row{"profile paid", "idempotent", "maybe"}, Row{"pool p", "slots", "-1"},
+          Row{"service pay", "profile", "none"}, Row{"service pay", "pool", "none"},
+          Row{"link a b", "cap_mbit", ""}, Row{"queue q", "x", "1"}}) {
+      CAPTURE(Case.m_Section);
+      CAPTURE(Case.m_Key);
+      ConfigSections Sections = goodSections();
+      Sections[Case.m_Section][Case.m_Key] = Case.m_Value;
+      ConfigCheck Check = checkConfig(Sections, 1);
+      REQUIRE(Check.m_Faults.size() == 1);
+      CHECK(Check.m_Faults[0].m_Section == Case.m_Section);
+    }
+    ConfigSections Two = goodSections();
+    Two["pool p"]["slots"] = "x";
+    Two["profile paid"]["worth"] = "y";
+    CHECK(checkConfig(Two, 1).m_Faults.size() == 2);
+  }
+
+  TEST_CASE("floors must leave room") {
+    ConfigSections Sections = goodSections();
+    Sections["profile paid"]["floor_percent"] = "50";
+    Sections["profile slow"]["floor_percent"] = "50";
+    CHECK(checkConfig(Sections, 1).m_Faults.size() == 1);
+  }
+
+  TEST_CASE("a difference applied gives the other document") {
+    ConfigSections From = goodSections();
+    ConfigSections To = From;
+    To.erase("service stamp");
+    To["pool p"]["slots"] = "4";
+    To["drain 10.0.0.1:1"]["since"] = "5";
+    auto Changes = diffConfig(From, To);
+    CHECK(Changes.size() == 3);
+    applyChanges(From, Changes);
+    CHECK(From == To);
+    CHECK(diffConfig(From, To).empty());
+  }
+
+  TEST_CASE("edits that take or shift work are named") {
+    ConfigSections From = goodSections();
+    struct Row {
+      const char *m_Name;
+      std::function<void(ConfigSections &)> m_Edit;
+      std::size_t m_Warnings;
+    };
+    const Row Rows[] = {
+        {"worth", [](ConfigSections &S) { S["profile paid"]["worth"] = "3"; }, 0},
+        {"reach", [](ConfigSections &S) { S["profile paid"]["reach"] = "domain"; }, 1},
+        {"service", [](ConfigSections &S) { S.erase("service pay"); }, 1},
+        {"one drain", [](ConfigSections &S) { S["drain a"]; }, 0},
+        {"four drains",
+         [](ConfigSections &S) { S["drain a"]; S["drain b"]; S["drain c"]; S["drain d"]; }, 1},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      ConfigSections To = From;
+      Case.m_Edit(To);
+      CHECK(shiftWarnings(From, To).size() == Case.m_Warnings);
+    }
+  }
+
+  TEST_CASE("indexes stay when rows come and go") {
+    Configuration Old = checkConfig(goodSections(), 1).m_Configuration;
+    ConfigSections Sections = goodSections();
+    Sections.erase("service pay");
+    Sections["profile aaa"]["urgency"] = "normal";
+    Sections["service aaa"] = {{"profile", "aaa"}, {"pool", "p"}};
+    Configuration Next = checkConfig(Sections, 2).m_Configuration;
+    keepIndexes(Old, Next);
+    for (std::size_t I = 0; I < Old.m_Profiles.size(); ++I)
+      CHECK(Next.m_Profiles[I].m_Name == Old.m_Profiles[I].m_Name);
+    for (std::size_t I = 0; I < Old.m_Services.size(); ++I)
+      CHECK(Next.m_Services[I].m_Name == Old.m_Services[I].m_Name);
+    CHECK(Next.findService("pay") == nullptr);
+    const Service *Added = Next.findService("aaa");
+    REQUIRE(Added != nullptr);
+    CHECK(Next.m_Profiles[static_cast<std::size_t>(Added->m_Profile)].m_Name == "aaa");
+  }
+}
+
+TEST_SUITE("retry") {
+  TEST_CASE("retries stay a tenth of first tries, whatever fails") {
+    RetryBudget Budget;
+    int Retries = 0;
+    for (int I = 0; I < 10000; ++I) {
+      Budget.firstTry();
+      for (int Try = 0; Try < 3; ++Try)
+        Retries += Budget.tryRetry() ? 1 : 0;
+    }
+    CHECK(Retries <= 1003);
+    CHECK(Retries >= 990);
+  }
+}
--- /dev/null
+++ b/test/HttpTest.cpp
@@ -0,0 +1,219 @@
+// HTTP server and client against answers that are late, cut short, oversized or
+// dripping, and connections that end at each step.
+#include "net/Clock.h"
+#include "net/Daemon.h"
+#include "net/Http.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarb;
+using namespace rhubarb::net;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+
+// Server, client and the reachability between them, on one loop.
+struct Bench {
+  asio::io_context m_Io{1};
+  Reachability m_Reach;
+  HttpClient m_Client{m_Io, m_Reach, "127.0.0.1", limits()};
+
+  static HttpClientLimits limits() {
+    HttpClientLimits Limits;
+    Limits.m_MaxBodyBytes = 1000;
+    return Limits;
+  }
+
+  // Runs one coroutine to its end.
+  void run(asio::awaitable<void> Task) {
+    bool Ended = false;
+    asio::co_spawn(m_Io, std::move(Task), [&](const std::exception_ptr &Thrown) {
+      Ended = true;
+      m_Io.stop();
+      if (Thrown)
+        std::rethrow_exception(Thrown);
+    });
+    m_Io.restart();
+    m_Io.run();
+    CHECK(Ended);
+  }
+};
+
+// A server that reads a request and then sends raw text in steps.
+asio::awaitable<void> rawServer(tcp::acceptor &Acceptor, std::vector<std::string> Steps,
+                                Duration Pause) {
+  for (;;) {
+    auto [Error, Socket] = co_await Acceptor.async_accept(Await);
+    if (Error)
+      co_return;
+    char Buffer[4096];
+    co_await Socket.async_read_some(asio::buffer(Buffer), Await);
+    for (const std::string &Step : Steps) {
+      auto [WriteError, Written] = co_await asio::async_write(Socket, asio::buffer(Step), Await);
+      if (WriteError)
+        break;
+      co_await sleepFor(Pause);
+    }
+  }
+}
+
+HttpFailure sendToRaw(std::vector<std::string> Steps, Duration Pause, Duration Limit) {
+  Bench Parts;
+  tcp::acceptor Acceptor(Parts.m_Io, {asio::ip::make_address("127.0.0.1"), 0});
+  std::string Address = "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  asio::co_spawn(Parts.m_Io, rawServer(Acceptor, std::move(Steps), Pause), asio::detached);
+  HttpFailure Seen = HttpFailure::None;
+  Parts.run([](Bench &Used, std::string To, Duration Time_,
+               HttpFailure &Out) -> asio::awaitable<void> {
+    HttpResult Got = co_await Used.m_Client.send(To, HttpRequest{}, now() + Time_);
+    Out = Got.m_Failure;
+  }(Parts, Address, Limit, Seen));
+  return Seen;
+}
+
+// Sends raw text to a server and returns what it answers.
+std::string rawExchange(HttpServerLimits Limits, const std::string &Text, int &Handled) {
+  Bench Parts;
+  HttpServer Server(Parts.m_Io, Parts.m_Reach, Limits,
+                    [&](HttpRequest) -> asio::awaitable<HttpResponse> {
+                      ++Handled;
+                      co_return jsonResponse(200, "{}");
+                    });
+  auto Port = Server.start("127.0.0.1", 0);
+  REQUIRE(Port);
+  std::string Answer;
+  Parts.run([](Bench &Used, std::uint16_t To, std::string Sent,
+               std::string &Out) -> asio::awaitable<void> {
+    tcp::socket Socket(Used.m_Io);
+    co_await Socket.async_connect({asio::ip::make_address("127.0.0.1"), To}, Await);
+    co_await asio::async_write(Socket, asio::buffer(Sent), Await);
+    boost::system::error_code Ignored;
+    Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+    char Buffer[4096];
+    for (;;) {
+      auto [Error, Bytes] = co_await Socket.async_read_some(asio::buffer(Buffer), Await);
+      Out.append(Buffer, Bytes);
+      if (Error)
+        break;
+    }
+  }(Parts, Port.value(), Text, Answer));
+  return Answer;
+}
+
+} // namespace
+
+TEST_SUITE("http") {
+  TEST_CASE("how an answer that is not whole ends") {
+    const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
+    struct Row {
+      const char *m_Name;
+      std::vector<std::string> m_Steps;
+      Duration m_Pause;
+      HttpFailure m_Expected;
+    };
+    const Row Rows[] = {
+        {"whole", {Head + "0123456789"}, 0ms, HttpFailure::None},
+        {"whole, in pieces", {Head, "01234", "56789"}, 5ms, HttpFailure::None},
+        {"nothing", {}, 0ms, HttpFailure::Cut},
+        {"cut in the header", {"HTTP/1.1 200"}, 0ms, HttpFailure::Cut},
+        {"cut in the body", {Head + "01234"}, 0ms, HttpFailure::Cut},
+        {"no stated length", {"HTTP/1.1 200 OK\r\n\r\n01234"}, 0ms, HttpFailure::Cut},
+        {"cut in a chunk",
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01"},
+         0ms,
+         HttpFailure::Cut},
+        {"not HTTP", {"hello hello hello\r\n\r\n"}, 0ms, HttpFailure::Cut},
+        {"too large",
+         {"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x')},
+         0ms,
+         HttpFailure::TooLarge},
+        {"slow drip", {Head, "0", "1", "2", "3", "4", "5"}, 100ms, HttpFailure::Timeout},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      CHECK(sendToRaw(Case.m_Steps, Case.m_Pause, 300ms) == Case.m_Expected);
+    }
+  }
+
+  TEST_CASE("no one listening, and a cut link, are failures to connect") {
+    Bench Parts;
+    Parts.m_Reach.setCut({"127.9."});
+    Parts.run([](Bench &Used) -> asio::awaitable<void> {
+      HttpResult Refused =
+          co_await Used.m_Client.send("127.0.0.1:1", HttpRequest{}, now() + 300ms);
+      CHECK(Refused.m_Failure == HttpFailure::Connect);
+      HttpResult Cut =
+          co_await Used.m_Client.send("127.9.0.1:1", HttpRequest{}, now() + 300ms);
+      CHECK(Cut.m_Failure == HttpFailure::Connect);
+      HttpResult Bad = co_await Used.m_Client.send("host:1", HttpRequest{}, now() + 300ms);
+      CHECK(Bad.m_Failure == HttpFailure::Connect);
+    }(Parts));
+  }
+
+  TEST_CASE("answers do not cross after time-outs on reused connections") {
+    Bench Parts;
+    HttpServer Server(Parts.m_Io, Parts.m_Reach, HttpServerLimits{},
+                      [](HttpRequest Request) -> asio::awaitable<HttpResponse> {
+                        if (Request.query("slow") == "1")
+                          co_await sleepFor(60ms);
+                        co_return jsonResponse(200, std::string(Request.query("id")));
+                      });
+    auto Port = Server.start("127.0.0.1", 0);
+    REQUIRE(Port);
+    std::string Address = "127.0.0.1:" + std::to_string(Port.value());
+    Parts.run([](Bench &Used, std::string To) -> asio::awaitable<void> {
+      int TimedOut = 0;
+      for (int I = 0; I < 60; ++I) {
+        HttpRequest Request;
+        bool Slow = I % 3 == 0;
+        Request.m_Target = "/?id=" + std::to_string(I) + (Slow ? "&slow=1" : "");
+        HttpResult Got = co_await Used.m_Client.send(To, Request, now() + 30ms);
+        TimedOut += Got.m_Failure == HttpFailure::Timeout ? 1 : 0;
+        if (Got.m_Failure == HttpFailure::None)
+          CHECK(Got.m_Response.m_Body == std::to_string(I));
+      }
+      CHECK(TimedOut >= 20);
+    }(Parts, Address));
+  }
+
+  TEST_CASE("requests that are refused before the handler") {
+    HttpServerLimits Limits;
+    Limits.m_MaxHeaderBytes = 500;
+    Limits.m_MaxBodyBytes = 100;
+    struct Row {
+      const char *m_Name;
+      std::string m_Text;
+      const char *m_Expected; // Start of the answer.
+      int m_Handled;
+    };
+    const Row Rows[] = {
+        {"good", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 200", 1},
+        {"not HTTP", "hello\r\n\r\n", "HTTP/1.1 400", 0},
+        {"header too large",
+         "GET / HTTP/1.1\r\nA: " + std::string(600, 'a') + "\r\n\r\n", "HTTP/1.1 400", 0},
+        {"body too large",
+         "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'a'),
+         "HTTP/1.1 413", 0},
+        {"bad length", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "HTTP/1.1 400", 0},
+        {"cut in the body", "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nabc", "", 0},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      int Handled = 0;
+      std::string Answer = rawExchange(Limits, Case.m_Text, Handled);
+      CAPTURE(Answer);
+      CHECK(Answer.starts_with(Case.m_Expected));
+      CHECK(Handled == Case.m_Handled);
+      if (Handled == 0 && !Answer.empty())
+        CHECK(Answer.find("Rhubarb-Outcome: not-run") != std::string::npos);
+    }
+  }
+}
--- /dev/null
+++ b/test/KeysTest.cpp
@@ -0,0 +1,165 @@
+#include "rhubarb/Keys.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarb;
+
+namespace {
+
+constexpr std::int64_t IssuedMs = 1000000;
+constexpr HomeId Self{0x7f010101, 8080, 42};
+
+RequestKey keyOf(const std::string &Id, HomeId Home = Self) {
+  return {{Home, IssuedMs, "0123456789abcdef"}, Id};
+}
+
+KeyTableLimits smallLimits() {
+  KeyTableLimits Limits;
+  Limits.m_Lifetime = 10s;
+  Limits.m_MaxKeys = 3;
+  return Limits;
+}
+
+AnswerPtr okAnswer() {
+  auto Made = std::make_shared<Answer>();
+  Made->m_Body = "done";
+  return Made;
+}
+
+} // namespace
+
+TEST_SUITE("keys") {
+  TEST_CASE("a key survives its text form") {
+    RequestKey Key = keyOf("abc-1");
+    Result<RequestKey> Read = parseKey(Key.text());
+    REQUIRE(Read);
+    CHECK(Read.value().text() == Key.text());
+    CHECK(Read.value().m_Home.m_Home == Self);
+    CHECK(Read.value().m_Home.m_IssuedMs == IssuedMs);
+  }
+
+  TEST_CASE("unusable key texts are refused") {
+    const std::string Good = keyOf("a").text();
+    const std::string Cases[] = {
+        "", ".", "a.b", "a.b.c.d", Good + " ", Good + ".x y", Good.substr(1) + "!",
+        "zz-1f90-2a.1.sig.id", "7f-1f90.1.sig.id", "7f010101-1ffff-2a.1.sig.id",
+        "7f010101-1f90-2a..sig.id", std::string(300, 'a'),
+        "7f010101-1f90-2a.1.sig." + std::string(65, 'a')};
+    for (const std::string &Text : Cases) {
+      CAPTURE(Text);
+      Result<RequestKey> Read = parseKey(Text);
+      REQUIRE(!Read);
+      CHECK(Read.error().m_Kind == ErrorKind::KeyMalformed);
+    }
+  }
+
+  TEST_CASE("what an arrival gets, by the state of its key") {
+    struct Row {
+      const char *m_Name;
+      AnswerPtr m_Ended; // Null: still under way.
+      KeyVerdict m_Expected;
+    };
+    const Row Rows[] = {
+        {"under way", nullptr, KeyVerdict::Join},
+        {"answered", okAnswer(), KeyVerdict::Replay},
+        {"not run", makeErrorAnswer(ErrorKind::ServerShed), KeyVerdict::Run},
+        {"unknown", makeErrorAnswer(ErrorKind::ServerCut), KeyVerdict::Replay},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      KeyTable Table(Self, smallLimits());
+      RequestKey Key = keyOf("k");
+      CHECK(Table.admit(Key, 1, IssuedMs).m_Verdict == KeyVerdict::Run);
+      CHECK(Table.markSent(Key.text()));
+      CHECK(!Table.markSent(Key.text()));
+      if (Case.m_Ended)
+        Table.finish(Key.text(), Case.m_Ended);
+      CHECK(Table.admit(Key, 1, IssuedMs + 1).m_Verdict == Case.m_Expected);
+    }
+  }
+
+  TEST_CASE("a try that was held up does not undo a refusal") {
+    KeyTable Table(Self, smallLimits());
+    RequestKey Key = keyOf("k");
+    Table.admit(Key, 1, IssuedMs, 2);
+    Table.finish(Key.text(), makeErrorAnswer(ErrorKind::WaitTooLong));
+    CHECK(Table.admit(Key, 1, IssuedMs, 1).m_Verdict == KeyVerdict::Replay);
+    CHECK(Table.admit(Key, 1, IssuedMs, 2).m_Verdict == KeyVerdict::Replay);
+    CHECK(Table.admit(Key, 1, IssuedMs, 3).m_Verdict == KeyVerdict::Run);
+  }
+
+  TEST_CASE("refusals") {
+    KeyTable Table(Self, smallLimits());
+    HomeId Other = Self;
+    Other.m_Incarnation = 43;
+    struct Row {
+      const char *m_Name;
+      RequestKey m_Key;
+      std::uint64_t m_Fingerprint;
+      std::int64_t m_NowMs;
+      ErrorKind m_Expected;
+    };
+    RequestKey Known = keyOf("known");
+    CHECK(Table.admit(Known, 1, IssuedMs).m_Verdict == KeyVerdict::Run);
+    const Row Rows[] = {
+        {"another request", Known, 2, IssuedMs, ErrorKind::KeyReused},
+        {"past its lifetime", keyOf("old"), 1, IssuedMs + 10000, ErrorKind::KeyExpired},
+        {"issued in the future", keyOf("new"), 1, IssuedMs - 6000, ErrorKind::KeyForged},
+        {"another incarnation", keyOf("x", Other), 1, IssuedMs, ErrorKind::HomeGone},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      KeyAdmission Admission = Table.admit(Case.m_Key, Case.m_Fingerprint, Case.m_NowMs);
+      CHECK(Admission.m_Verdict == KeyVerdict::Refused);
+      CHECK(Admission.m_Error == Case.m_Expected);
+    }
+  }
+
+  TEST_CASE("a full table refuses new keys and keeps old ones until they expire") {
+    KeyTable Table(Self, smallLimits());
+    for (const char *Id : {"a", "b", "c"})
+      CHECK(Table.admit(keyOf(Id), 1, IssuedMs).m_Verdict == KeyVerdict::Run);
+    CHECK(Table.admit(keyOf("d"), 1, IssuedMs).m_Error == ErrorKind::KeyTableFull);
+    CHECK(Table.admit(keyOf("a"), 1, IssuedMs).m_Verdict == KeyVerdict::Join);
+    Table.expire(IssuedMs + 10000);
+    CHECK(Table.size() == 0);
+    CHECK(Table.answerBytes() == 0);
+    RequestKey Late = keyOf("d");
+    Late.m_Home.m_IssuedMs = IssuedMs + 9000;
+    CHECK(Table.admit(Late, 1, IssuedMs + 10000).m_Verdict == KeyVerdict::Run);
+  }
+
+  TEST_CASE("joined arrivals get the one answer") {
+    KeyTable Table(Self, smallLimits());
+    RequestKey Key = keyOf("k");
+    Table.admit(Key, 1, IssuedMs);
+    int Calls = 0;
+    for (int I = 0; I < 3; ++I)
+      Table.join(Key.text(), [&](const AnswerPtr &Final) {
+        ++Calls;
+        CHECK(Final->m_Body == "done");
+      });
+    Table.finish(Key.text(), okAnswer());
+    CHECK(Calls == 3);
+  }
+
+  TEST_CASE("a hand-over moves answers and the right to run, and only once") {
+    KeyTable Old(Self, smallLimits());
+    HomeId NextHome{0x7f010102, 8080, 77};
+    KeyTable Next(NextHome, smallLimits());
+    Old.admit(keyOf("done"), 1, IssuedMs);
+    Old.markSent(keyOf("done").text());
+    Old.finish(keyOf("done").text(), okAnswer());
+    Old.admit(keyOf("cut"), 1, IssuedMs);
+    Old.markSent(keyOf("cut").text());
+    KeyHandover Whole = Old.retire();
+    CHECK(!Old.markSent(keyOf("cut").text()));
+    CHECK(Old.admit(keyOf("new"), 1, IssuedMs).m_Error == ErrorKind::Leaving);
+    Next.adopt(Whole);
+    CHECK(Next.admit(keyOf("done"), 1, IssuedMs).m_Answer->m_Body == "done");
+    CHECK(Next.admit(keyOf("cut"), 1, IssuedMs).m_Answer->m_Outcome == Outcome::Unknown);
+    CHECK(Next.admit(keyOf("new"), 1, IssuedMs).m_Verdict == KeyVerdict::Run);
+    CHECK(Next.homes().size() == 2);
+    CHECK(Old.retire().m_Homes.empty());
+  }
+}
--- /dev/null
+++ b/test/Main.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/test/MembersTest.cpp
@@ -0,0 +1,170 @@
+#include "rhubarb/Members.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace rhubarb;
+
+namespace {
+
+std::string vmName(int Domain, int Vm) {
+  return "10.0." + std::to_string(Domain) + "." + std::to_string(Vm);
+}
+
+std::vector<MemberTable::Listing> fleet(int Domains, int VmsEach) {
+  std::vector<MemberTable::Listing> Rows;
+  for (int D = 0; D < Domains; ++D)
+    for (int V = 0; V < VmsEach; ++V)
+      Rows.push_back({vmName(D, V), "d" + std::to_string(D), false});
+  return Rows;
+}
+
+MemberReport reportOf(const std::string &Vm, std::uint64_t Boot, std::uint64_t Sequence) {
+  MemberReport Report;
+  Report.m_Vm = Vm;
+  Report.m_Boot = Boot;
+  Report.m_Sequence = Sequence;
+  Report.m_Domain = "d0";
+  return Report;
+}
+
+// Rounds of heartbeats until a change known to one VM is known to all.
+int roundsToSpread(int Domains, int VmsEach, int LossPercent, std::uint64_t Seed) {
+  MemberLimits Limits;
+  std::vector<MemberTable> Tables;
+  auto Rows = fleet(Domains, VmsEach);
+  Random Loss(Seed);
+  Time Now = 10s;
+  std::map<std::string, std::size_t> IndexOf;
+  for (const auto &Row : Rows) {
+    IndexOf[Row.m_Vm] = Tables.size();
+    Tables.emplace_back(Row.m_Vm, Row.m_Domain, Limits);
+    Tables.back().setListing(Rows, Now);
+  }
+  // Everyone has heard of everyone, so that speakers are chosen among all.
+  for (MemberTable &Table : Tables) {
+    for (const auto &Row : Rows) {
+      MemberReport Report = reportOf(Row.m_Vm, 1, 1);
+      Report.m_Domain = Row.m_Domain;
+      Table.observe(Report, Duration{0}, Now);
+    }
+    Table.tick(Now);
+  }
+  std::vector<bool> Knows(Tables.size(), false);
+  Knows[0] = true;
+  for (int Round = 1; Round <= 200; ++Round) {
+    std::vector<bool> Next = Knows;
+    for (std::size_t I = 0; I < Tables.size(); ++I)
+      if (Knows[I])
+        for (const std::string &Vm : Tables[I].contacts(static_cast<std::uint64_t>(Round)))
+          if (static_cast<int>(Loss.below(100)) >= LossPercent)
+            Next[IndexOf[Vm]] = true;
+    Knows = Next;
+    if (std::count(Knows.begin(), Knows.end(), false) == 0)
+      return Round;
+  }
+  return -1;
+}
+
+} // namespace
+
+TEST_SUITE("members") {
+  TEST_CASE("old news is not taken, a restart is news") {
+    MemberTable Table("10.0.0.0", "d0", MemberLimits{});
+    Table.setListing(fleet(1, 2), 10s);
+    std::string Other = vmName(0, 1);
+    struct Row {
+      std::uint64_t m_Boot, m_Sequence;
+      bool m_Taken;
+    };
+    for (const Row &Case :
+         {Row{5, 10, true}, Row{5, 10, false}, Row{5, 9, false}, Row{5, 11, true},
+          Row{6, 1, true}, Row{5, 99, false}})
+      CHECK(Table.observe(reportOf(Other, Case.m_Boot, Case.m_Sequence), Duration{0},
+                          10s) == Case.m_Taken);
+    CHECK(!Table.observe(reportOf("10.9.9.9", 1, 1), Duration{0}, 10s));
+  }
+
+  TEST_CASE("silence excludes and a heartbeat brings back") {
+    MemberTable Table("10.0.0.0", "d0", MemberLimits{});
+    Table.setListing(fleet(1, 2), 10s);
+    Table.tick(10s);
+    CHECK(Table.liveMembers("d0").size() == 1);
+    Table.observe(reportOf(vmName(0, 1), 1, 1), Duration{0}, 10s);
+    Table.tick(10s);
+    CHECK(Table.liveMembers("d0").size() == 2);
+    Table.tick(13s);
+    CHECK(Table.liveMembers("d0").size() == 1);
+    CHECK(Table.find(vmName(0, 1))->m_State == MemberState::Silent);
+    Table.observe(reportOf(vmName(0, 1), 1, 2), Duration{0}, 13s);
+    Table.tick(13s);
+    CHECK(Table.liveMembers("d0").size() == 2);
+  }
+
+  TEST_CASE("the list removes, and marks as leaving") {
+    MemberTable Table("10.0.0.0", "d0", MemberLimits{});
+    auto Rows = fleet(1, 3);
+    Table.setListing(Rows, 10s);
+    CHECK(Table.rows().size() == 3);
+    Rows[1].m_Leaving = true;
+    Rows.pop_back();
+    Table.setListing(Rows, 10s);
+    Table.tick(10s);
+    CHECK(Table.rows().size() == 2);
+    CHECK(Table.find(vmName(0, 1))->m_State == MemberState::Leaving);
+  }
+
+  TEST_CASE("each pair of failure domains has one speaker, load is even") {
+    auto Rows = fleet(10, 8);
+    std::map<std::string, int> Sent;
+    for (const auto &Self : Rows) {
+      MemberTable Table(Self.m_Vm, Self.m_Domain, MemberLimits{});
+      Table.setListing(Rows, 10s);
+      for (const auto &Row : Rows) {
+        MemberReport Report = reportOf(Row.m_Vm, 1, 1);
+        Report.m_Domain = Row.m_Domain;
+        Table.observe(Report, Duration{0}, 10s);
+      }
+      Table.tick(10s);
+      Sent[Self.m_Vm] = static_cast<int>(Table.contacts(3).size());
+    }
+    int Sum = 0;
+    for (const auto &[Vm, Count] : Sent) {
+      Sum += Count;
+      CHECK(Count <= 4 + 6);
+    }
+    CHECK(Sum == 10 * 8 * 4 + 10 * 9);
+  }
+
+  TEST_CASE("news reaches every VM in few rounds") {
+    struct Row {
+      int m_Domains, m_VmsEach, m_LossPercent, m_MostRounds;
+    };
+    // At 500 ms a round, 12 s are 24 rounds; two fetches are kept back.
+    for (const Row &Case : {Row{6, 2, 0, 6}, Row{6, 2, 20, 12}, Row{12, 38, 0, 12},
+                            Row{12, 38, 20, 16}})
+      for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+        int Rounds = roundsToSpread(Case.m_Domains, Case.m_VmsEach, Case.m_LossPercent, Seed);
+        CAPTURE(Case.m_VmsEach);
+        CAPTURE(Rounds);
+        CHECK(Rounds > 0);
+        CHECK(Rounds <= Case.m_MostRounds);
+      }
+  }
+
+  TEST_CASE("a few VMs of a failure domain watch the store") {
+    auto Rows = fleet(1, 9);
+    int Watching = 0;
+    for (const auto &Self : Rows) {
+      MemberTable Table(Self.m_Vm, "d0", MemberLimits{});
+      Table.setListing(Rows, 10s);
+      for (const auto &Row : Rows)
+        Table.observe(reportOf(Row.m_Vm, 1, 1), Duration{0}, 10s);
+      Table.tick(10s);
+      Watching += Table.watchesStore(2) ? 1 : 0;
+    }
+    CHECK(Watching == 2);
+  }
+}
--- /dev/null
+++ b/test/NetTest.cpp
@@ -0,0 +1,241 @@
+// Settings, codecs, and a fuzz test over each decoder.
+#include "net/ConfigStore.h"
+#include "net/Crypto.h"
+#include "net/Ini.h"
+#include "net/Messages.h"
+#include "net/RpcClientCodec.h"
+#include "net/RpcServer.h"
+#include "net/Settings.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarb;
+using namespace rhubarb::net;
+
+namespace {
+
+const SettingTable Table{
+    {"a", "count", SettingKind::Number, "5", 1, 10, "things", ""},
+    {"a", "ip", SettingKind::Ip, nullptr, 0, 0, "", ""},
+    {"a", "peers", SettingKind::Address, "", 0, 0, "", ""},
+    {"a", "mode", SettingKind::Choice, "x", 0, 0, "x,y", ""},
+    {"a", "on", SettingKind::Flag, "no", 0, 0, "", ""},
+};
+
+Heartbeat sampleHeartbeat() {
+  MemberReport Report;
+  Report.m_Vm = "127.0.0.1";
+  Report.m_Boot = 1700000000000;
+  Report.m_Sequence = 9;
+  Report.m_EntryIncarnation = 0xfedcba9876543210ULL;
+  Report.m_Revision = 12;
+  Report.m_Pools = {{"order", 9, 4, 2}};
+  Report.m_Adopted = {"7f000001-1f90-2a"};
+  return {{{Report, 150ms}, {Report, 0ms}}};
+}
+
+Snapshot sampleSnapshot() {
+  Snapshot Sample;
+  Sample.m_ConfigKnown = true;
+  Sample.m_Revision = 4;
+  Sample.m_Sections = {{"pool p", {{"slots", "3"}}}};
+  Sample.m_Members = {{"127.0.0.1", "d", MemberState::Live, 5, {"h"}, {{"p", 1, 2, 3}}}};
+  Sample.m_Servers = {{"127.0.0.1:9", "p", "d", true}};
+  return Sample;
+}
+
+KeyHandover sampleHandover() {
+  KeyHandover Sample;
+  Sample.m_Homes = {{1, 2, 3}};
+  Sample.m_Rows = {{"k", 7, 8, KeyState::Unknown, makeErrorAnswer(ErrorKind::ServerCut)}};
+  return Sample;
+}
+
+ConfigHead sampleHead() {
+  ConfigHead Head;
+  Head.m_Revision = 3;
+  Head.m_CheckpointKeys = {"a", "b"};
+  Head.m_CheckpointHash = 0xffffffffffffffffULL;
+  Head.m_Edits = {{"id", 3, "me", 5, {{"pool p", false, {{"slots", "1"}}}, {"x y", true, {}}}}};
+  return Head;
+}
+
+// Damages a text in a few places.
+std::string damage(std::string Text, Random &Draw) {
+  for (std::uint64_t I = 0, N = 1 + Draw.below(4); I < N && !Text.empty(); ++I) {
+    std::size_t At = Draw.below(Text.size());
+    switch (Draw.below(4)) {
+    case 0:
+      Text[At] = static_cast<char>(Draw.below(256));
+      break;
+    case 1:
+      Text.erase(At, 1 + Draw.below(8));
+      break;
+    case 2:
+      Text.insert(At, std::string(1 + Draw.below(3), "[]{}\",:-19e"[Draw.below(11)]));
+      break;
+    default:
+      Text.resize(At);
+    }
+  }
+  return Text;
+}
+
+} // namespace
+
+TEST_SUITE("settings") {
+  TEST_CASE("good settings") {
+    Result<Settings> Loaded =
+        Settings::load(Table, "", {"a.ip=127.0.0.1", "a.peers=127.0.0.1:1,127.0.0.2:2"});
+    REQUIRE(Loaded);
+    CHECK(Loaded.value().number("a.count") == 5);
+    CHECK(Loaded.value().list("a.peers").size() == 2);
+    CHECK(!Loaded.value().flag("a.on"));
+  }
+
+  TEST_CASE("faults name key, value and range") {
+    struct Row {
+      std::vector<std::string> m_Overrides;
+      std::string m_Expected;
+    };
+    const std::string Ip = "a.ip=127.0.0.1";
+    for (const Row &Case :
+         {Row{{}, "a.ip = '': is missing; takes an IPv4 number"},
+          Row{{Ip, "a.count=11"}, "a.count = '11': takes 1 to 10 things"},
+          Row{{Ip, "a.count=x"}, "a.count = 'x': takes 1 to 10 things"},
+          Row{{Ip, "a.mode=z"}, "a.mode = 'z': takes one of x,y"},
+          Row{{Ip, "a.on=1"}, "a.on = '1': takes yes or no"},
+          Row{{Ip, "a.peers=host:1"}, "takes IPv4:port"},
+          Row{{Ip, "b.c=1"}, "b.c = '1': is not a setting"},
+          Row{{Ip, "nonsense"}, "takes section.key=value"}}) {
+      Result<Settings> Loaded = Settings::load(Table, "", Case.m_Overrides);
+      REQUIRE(!Loaded);
+      CAPTURE(Loaded.error().m_Text);
+      CHECK(Loaded.error().m_Text.find(Case.m_Expected) != std::string::npos);
+    }
+  }
+
+  TEST_CASE("INI text and back") {
+    Result<ConfigSections> Read = parseIni("; note\n[pool p]\nslots = 3\n\n[x y]\n");
+    REQUIRE(Read);
+    CHECK(Read.value().at("pool p").at("slots") == "3");
+    CHECK(parseIni(formatIni(Read.value())).value() == Read.value());
+    for (const char *Bad : {"[open", "novalue\n", "[a]\nx=1\nx=2\n", "x = 1\n"}) {
+      CAPTURE(Bad);
+      CHECK(!parseIni(Bad));
+    }
+  }
+}
+
+TEST_SUITE("messages") {
+  TEST_CASE("each message survives its JSON form") {
+    CHECK(compactJson(toJson(readHeartbeat(toJson(sampleHeartbeat())))) ==
+          compactJson(toJson(sampleHeartbeat())));
+    CHECK(compactJson(toJson(readSnapshot(toJson(sampleSnapshot())))) ==
+          compactJson(toJson(sampleSnapshot())));
+    CHECK(compactJson(toJson(readKeyHandover(toJson(sampleHandover())))) ==
+          compactJson(toJson(sampleHandover())));
+    CHECK(encodeHead(decodeHead(encodeHead(sampleHead())).value()) ==
+          encodeHead(sampleHead()));
+  }
+
+  TEST_CASE("unknown fields do no harm") {
+    Json::Value Json = toJson(sampleSnapshot());
+    Json["later"] = "x";
+    Json["members"][0].append("later");
+    CHECK(readSnapshot(Json).m_Members.size() == 1);
+    Json::Value Heart = toJson(sampleHeartbeat());
+    Heart[1].append("later");
+    CHECK(readHeartbeat(Heart).m_Rows.size() == 2);
+  }
+
+  TEST_CASE("base64 and signatures") {
+    for (const std::string &Text : {std::string(), std::string("a"), std::string("ab"),
+                                    std::string("abc"), std::string("\0x", 2)})
+      CHECK(decodeBase64(encodeBase64(Text)).value() == Text);
+    CHECK(!decodeBase64("!!!!"));
+    KeySigner Signer("secret");
+    KeyHome Home = Signer.sign({1, 2, 3}, 5);
+    CHECK(Signer.verify(Home));
+    KeyHome Forged = Home;
+    Forged.m_IssuedMs = 6;
+    CHECK(!Signer.verify(Forged));
+    CHECK(!KeySigner("other").verify(Home));
+  }
+
+  TEST_CASE("JSON-RPC calls, answers and faults") {
+    RpcServer Server;
+    Server.addMethod("twice", [](const Json::Value &Params, const std::string &Ip) {
+      Json::Value Out;
+      Out["value"] = Params[0].asInt() * 2;
+      Out["from"] = Ip;
+      return Out;
+    });
+    int Notified = 0;
+    Server.addNotification("note", [&](const Json::Value &, const std::string &) {
+      ++Notified;
+      return Json::Value();
+    });
+    Json::Value Params(Json::arrayValue);
+    Params.append(21);
+    RpcAnswer Answer = decodeAnswer(Server.handle(encodeCall("twice", Params), "1.2.3.4"));
+    REQUIRE(Answer.m_Ok);
+    CHECK(Answer.m_Result["value"].asInt() == 42);
+    CHECK(Answer.m_Result["from"].asString() == "1.2.3.4");
+    Server.handle(encodeNotification("note", Params), "1.2.3.4");
+    CHECK(Notified == 1);
+    CHECK(!decodeAnswer(Server.handle(encodeCall("none", Params), "")).m_Ok);
+    Params[0] = "text";
+    CHECK(!decodeAnswer(Server.handle(encodeCall("twice", Params), "")).m_Ok);
+    CHECK(!decodeAnswer(Server.handle("{", "")).m_Ok);
+  }
+}
+
+TEST_SUITE("fuzz") {
+  TEST_CASE("damaged messages are refused or read, never worse") {
+    const std::string Seeds[] = {
+        compactJson(toJson(sampleHeartbeat())), compactJson(toJson(sampleSnapshot())),
+        compactJson(toJson(sampleHandover())), encodeHead(sampleHead()),
+        encodeCall("grant.ask", toJson(GrantAsk{"s", 0, Rank::Normal, 3}, "p"))};
+    RpcServer Server;
+    Server.addMethod("grant.ask", [](const Json::Value &Params, const std::string &) {
+      std::string Pool;
+      readGrantAsk(Params, Pool);
+      return Json::Value(Json::objectValue);
+    });
+    Random Draw(20261204);
+    int Read = 0;
+    for (int Round = 0; Round < 20000; ++Round) {
+      std::string Text = damage(Seeds[Draw.below(std::size(Seeds))], Draw);
+      Server.handle(Text, "127.0.0.1");
+      decodeAnswer(Text);
+      Read += decodeHead(Text).has_value() ? 1 : 0;
+      Read += parseKey(Text).has_value() ? 1 : 0;
+      Read += parseIni(Text).has_value() ? 1 : 0;
+      Result<Json::Value> Json = parseJson(Text);
+      if (!Json)
+        continue;
+      auto Try = [&](auto Reader) {
+        try {
+          Reader(Json.value());
+          ++Read;
+        } catch (const Json::Exception &) {
+        }
+      };
+      Try(readHeartbeat);
+      Try(readSnapshot);
+      Try(readDirectory);
+      Try(readEntryReport);
+      Try(readKeyHandover);
+      Try(readGrant);
+      Try(readChanges);
+    }
+    CHECK(Read > 0);
+  }
+
+  TEST_CASE("deep JSON is refused") {
+    CHECK(!parseJson(std::string(100000, '[')));
+    RpcServer Server;
+    CHECK(!decodeAnswer(Server.handle(std::string(900, '['), "")).m_Ok);
+  }
+}
--- /dev/null
+++ b/test/ServersTest.cpp
@@ -0,0 +1,116 @@
+#include "rhubarb/Servers.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace rhubarb;
+
+namespace {
+
+std::vector<ServerListing> listings(int Count, int Slots) {
+  std::vector<ServerListing> Rows;
+  for (int I = 0; I < Count; ++I)
+    Rows.push_back({"10.0.0." + std::to_string(I) + ":1", 0, Slots, false});
+  return Rows;
+}
+
+// Ticks until every slot is open.
+Time openAll(BackendServerTable &Table, Time Now) {
+  for (int I = 0; I < 40; ++I) {
+    Now += 250ms;
+    Table.tick(Now);
+  }
+  return Now;
+}
+
+} // namespace
+
+TEST_SUITE("servers") {
+  TEST_CASE("owners agree, spread, and move only a lost member's servers") {
+    std::vector<std::string> Members{"a", "b", "c", "d"};
+    std::vector<std::string> Fewer{"a", "b", "d"};
+    std::set<int> Used;
+    for (int I = 0; I < 200; ++I) {
+      std::string Server = "s" + std::to_string(I);
+      int Owner = chooseOwner(Server, Members);
+      Used.insert(Owner);
+      const std::string &Name = Members[static_cast<std::size_t>(Owner)];
+      if (Name != "c")
+        CHECK(Fewer[static_cast<std::size_t>(chooseOwner(Server, Fewer))] == Name);
+    }
+    CHECK(Used.size() == 4);
+    CHECK(chooseOwner("s", {}) == -1);
+  }
+
+  TEST_CASE("a new owner starts with one slot and opens after the owner's term") {
+    BackendServerTable Table(ServerLimits{});
+    Table.update(listings(1, 8), Time{0});
+    CHECK(Table.openSlots(0) == 1);
+    Table.tick(1900ms);
+    CHECK(Table.openSlots(0) == 1);
+    Table.tick(2100ms);
+    CHECK(Table.openSlots(0) == 2);
+    Table.tick(2400ms);
+    CHECK(Table.openSlots(0) == 4);
+  }
+
+  TEST_CASE("slots are never exceeded and a leaving server gets nothing new") {
+    BackendServerTable Table(ServerLimits{});
+    auto Rows = listings(3, 4);
+    Table.update(Rows, Time{0});
+    Time Now = openAll(Table, Time{0});
+    CHECK(Table.openSlots(0) == 12);
+    std::vector<ServerIndex> Taken;
+    for (ServerIndex Index; (Index = Table.acquire(0)) != NoServer;)
+      Taken.push_back(Index);
+    CHECK(Taken.size() == 12);
+    for (const ServerRow &Row : Table.rows())
+      CHECK(Row.m_Busy == 4);
+    Rows[0].m_Leaving = true;
+    Table.update(Rows, Now);
+    for (ServerIndex Index : Taken)
+      Table.release(Index, AttemptEnd::Answered, Now);
+    CHECK(Table.freeSlots(0) == 8);
+    for (int I = 0; I < 8; ++I)
+      CHECK(Table.row(Table.acquire(0)).m_Listing.m_Address != Rows[0].m_Address);
+    CHECK(Table.acquire(0) == NoServer);
+  }
+
+  TEST_CASE("ejection keeps a floor of servers and ends by itself") {
+    BackendServerTable Table(ServerLimits{});
+    Table.update(listings(6, 1), Time{0});
+    Time Now = openAll(Table, Time{0});
+    for (int Round = 0; Round < 30; ++Round) {
+      ServerIndex Index = Table.acquire(0);
+      if (Index == NoServer)
+        break;
+      Table.release(Index, AttemptEnd::Failed, Now);
+    }
+    CHECK(Table.openSlots(0) >= 4);
+    CHECK(Table.openSlots(0) < 6);
+    Table.tick(Now + 20s);
+    CHECK(Table.openSlots(0) == 6);
+  }
+
+  TEST_CASE("replaced servers do not make the table grow") {
+    BackendServerTable Table(ServerLimits{});
+    for (int Round = 0; Round < 50; ++Round) {
+      std::vector<ServerListing> Rows;
+      for (int I = 0; I < 4; ++I)
+        Rows.push_back({std::to_string(Round * 4 + I), 0, 2, false});
+      Table.update(Rows, Time{0});
+      CHECK(Table.openSlots(0) == 4);
+    }
+    CHECK(Table.rows().size() <= 8);
+  }
+
+  TEST_CASE("after a freeze every server opens slowly again") {
+    BackendServerTable Table(ServerLimits{});
+    Table.update(listings(2, 8), Time{0});
+    Time Now = openAll(Table, Time{0});
+    CHECK(Table.openSlots(0) == 16);
+    Table.reopenSlowly(Now);
+    CHECK(Table.openSlots(0) == 2);
+  }
+}
--- a/tools/rhubarb-entry/Entry.h
+++ b/tools/rhubarb-entry/Entry.h
@@ -99,6 +99,7 @@
   void applyConfig(const Snapshot &Taken);
   void applyServers();
   void updateCapacity(int Pool);
+  bool peerMayGrant(int Pool) const;
   EntryReport report() const;
   Json::Value answerAsk(const Json::Value &Params, const std::string &PeerIp);
   asio::awaitable<void> tickLoop();
--- a/tools/rhubarb-entry/EntryControl.cpp
+++ b/tools/rhubarb-entry/EntryControl.cpp
@@ -54,8 +54,7 @@
   m_Rpc.addMethod("keys.adopt", [this](const Json::Value &Params, const std::string &) {
     if (m_Leaving)
       throw Json::RuntimeError("this VM is leaving too");
-    KeyHandover Taken = readKeyHandover(Params[0]);
-    m_Keys.adopt(Taken.m_Homes, Taken.m_Rows);
+    m_Keys.adopt(readKeyHandover(Params[0]));
     return Json::Value(Json::objectValue);
   });
 }
@@ -159,6 +158,21 @@
   }
 }
 
+// Whether a live peer has servers of the pool, or has not said yet.
+bool Entry::peerMayGrant(int Pool) const {
+  const std::string &Name = m_Config.m_Pools[static_cast<std::size_t>(Pool)].m_Name;
+  for (const SnapshotMember &Member : m_Snapshot.m_Members) {
+    if (Member.m_Ip == m_Ip || Member.m_State != MemberState::Live)
+      continue;
+    auto Found = std::find_if(
+        Member.m_Pools.begin(), Member.m_Pools.end(),
+        [&](const PoolSummary &Summary) { return Summary.m_Pool == Name; });
+    if (Found == Member.m_Pools.end() || Found->m_Open > 0)
+      return true;
+  }
+  return false;
+}
+
 // Capacity is what the queue can fill: own slots and slots granted by others.
 // A process without either counts one while a peer could grant some.
 void Entry::updateCapacity(int Pool) {
@@ -168,14 +182,8 @@
     if (Row.m_Pool == Pool && now() < Row.m_Until)
       Held += Row.m_Slots;
   int Capacity = std::max(Own, 0) + Held;
-  if (Capacity == 0) {
-    const std::string &Name = m_Config.m_Pools[static_cast<std::size_t>(Pool)].m_Name;
-    for (const SnapshotMember &Member : m_Snapshot.m_Members)
-      for (const PoolSummary &Summary : Member.m_Pools)
-        if (Member.m_Ip != m_Ip && Member.m_State == MemberState::Live &&
-            Summary.m_Pool == Name && Summary.m_Open > 0)
-          Capacity = 1;
-  }
+  if (Capacity == 0 && peerMayGrant(Pool))
+    Capacity = 1;
   m_Pools[static_cast<std::size_t>(Pool)].m_Queue.setCapacity(Capacity);
 }
 
@@ -311,10 +319,7 @@
     }
   if (Chosen.empty())
     co_return false;
-  KeyHandover Whole;
-  Whole.m_Rows = m_Keys.retire();
-  Whole.m_Homes = m_Keys.homes();
-  co_return co_await handOverTo(Chosen, std::move(Whole));
+  co_return co_await handOverTo(Chosen, m_Keys.retire());
 }
 
 asio::awaitable<bool> Entry::handOverTo(std::string Vm, KeyHandover Whole) {
--- a/tools/rhubarb-entry/EntryRequests.cpp
+++ b/tools/rhubarb-entry/EntryRequests.cpp
@@ -152,7 +152,10 @@
 asio::awaitable<AnswerPtr> Entry::serveKeyed(PendingPtr Pending, RequestKey Key) {
   std::uint64_t Fingerprint =
       fingerprintOf(Pending->m_Request, Pending->m_ServiceName);
-  KeyAdmission Admission = m_Keys.admit(Key, Fingerprint, unixMillis());
+  int Try = 0;
+  std::string_view Text = Pending->m_Request.header(TryHeader);
+  std::from_chars(Text.data(), Text.data() + Text.size(), Try);
+  KeyAdmission Admission = m_Keys.admit(Key, Fingerprint, unixMillis(), Try);
   switch (Admission.m_Verdict) {
   case KeyVerdict::Run:
     break;
--- a/tools/rhubarb-steer/Agent.cpp
+++ b/tools/rhubarb-steer/Agent.cpp
@@ -132,6 +132,8 @@
   Json["domain"] = m_Domain;
   Json["region"] = m_Region;
   Json["revision"] = static_cast<Json::UInt64>(m_Revision);
+  Json["revision_at_entry"] = static_cast<Json::UInt64>(m_Entry.m_Revision);
+  Json["entry_up"] = m_Consumers.front().m_Up;
   Json["highest_heard"] = static_cast<Json::UInt64>(m_HighestHeard);
   Json["rejected_revision"] = static_cast<Json::UInt64>(m_RejectedRevision);
   Json["config_known"] = mayServe();
--- a/tools/rhubarbctl/Main.cpp
+++ b/tools/rhubarbctl/Main.cpp
@@ -306,6 +306,13 @@
     co_return Rows;
   }
 
+  // In force means at the entry process, where requests are decided.
+  static bool inForceAt(const Json::Value &Status, std::uint64_t Revision) {
+    return Status["revision"].asUInt64() >= Revision &&
+           (!Status["entry_up"].asBool() ||
+            Status["revision_at_entry"].asUInt64() >= Revision);
+  }
+
   asio::awaitable<int> waitInForce(std::uint64_t Revision) {
     Time Began = now();
     std::map<std::string, std::pair<int, int>> ByDomain; // In force; asked.
@@ -314,8 +321,7 @@
       ByDomain.clear();
       Behind.clear();
       for (const VmStatus &Row : co_await statuses()) {
-        bool InForce = Row.m_Steer &&
-                       Row.m_Steer.value()["revision"].asUInt64() >= Revision;
+        bool InForce = Row.m_Steer && inForceAt(Row.m_Steer.value(), Revision);
         std::string Domain = Row.m_Steer ? Row.m_Steer.value()["domain"].asString()
                                          : "(not reached)";
         ++ByDomain[Domain].second;
