Keep capacity busy and ranks served in floods

Claims of urgent asks held freed slots for 500 ms although the request had long been served (1.9 to 3.9 slots a process); grants for urgent work were then used, and renewed, for batch; answers that could not make the deadline took 6% of the slot time; owners of a domain's servers were uneven (3 to 1 of 4), so floors broke at the smaller one. Change: a claim holds nothing, the receiver sends the grant when a slot comes free; grants carry a rank; unused slots are given back; asks go out only when the local wait is six times the way there and back; requests leave the queue when the service can no longer end in time; owners by bounded rendezvous; look-ups spread callers by open slots; floors kept with a margin of 15%; the reserve bounded at 1% idle.

--- a/bench/FleetModel.h
+++ b/bench/FleetModel.h
@@ -41,10 +41,11 @@
   std::string m_Name;
   int m_Regions = 3;
   int m_DomainsPerRegion = 2;
-  int m_EntriesPerDomain = 2; // In the first domain of a region; others one less.
-  int m_Servers = 0;          // In all.
-  int m_Slots = 0;            // Of each.
-  Duration m_InDomain{0};     // One way.
+  int m_EntriesPerDomain =
+      2;                  // In the first domain of a region; others one less.
+  int m_Servers = 0;      // In all.
+  int m_Slots = 0;        // Of each.
+  Duration m_InDomain{0}; // One way.
   Duration m_BetweenDomains{0};
   Duration m_BetweenRegions{0};
   std::vector<WorkClass> m_Classes;
@@ -59,19 +60,21 @@
   std::array<double, RankCount> m_Flood{}; // Offered by a rank, over capacity.
   Time m_From{0};
   Time m_To{0};
-  int m_DeadRegion = -1;     // Its entry processes and servers die, then return.
-  double m_SickServers = 0;  // Share of servers that answer nothing in time.
-  int m_LossPercent = 0;     // Of messages between entry processes.
+  int m_DeadRegion = -1;    // Its entry processes and servers die, then return.
+  double m_SickServers = 0; // Share of servers that answer nothing in time.
+  int m_LossPercent = 0;    // Of messages between entry processes.
   bool m_ColdServers = false; // Servers take threefold for 2 s after a start.
-  double m_ArrivalSkew = 0;  // Extra share of all work that arrives in domain 0.
+  double m_ArrivalSkew = 0; // Extra share of all work that arrives in domain 0.
 };
 
 struct RankResult {
-  std::int64_t m_Offered = 0;  // First tries that arrived in the window.
-  std::int64_t m_Good = 0;     // Answered whole within the deadline.
+  std::int64_t m_Offered = 0; // First tries that arrived in the window.
+  std::int64_t m_Good = 0;    // Answered whole within the deadline.
   std::int64_t m_Refused = 0;
-  std::int64_t m_Late = 0;     // Answered after the deadline, or given up.
-  double m_SlotSeconds = 0;    // Of good answers.
+  std::int64_t m_Late = 0;         // Answered after the deadline, or given up.
+  double m_SlotSeconds = 0;        // Of good answers that ended in the window.
+  double m_OfferedSlotSeconds = 0; // Of first tries that arrived in the window.
+  double m_GoodSlotSeconds = 0;    // Of these, answered within the deadline.
   std::vector<float> m_LatencyMs;
 
   double goodShare() const;
@@ -91,7 +94,8 @@
 };
 
 // Runs the model for Length and measures the window [From, To).
-FleetResult runFleet(const Deployment &Fleet, Policy Used, const Disturbance &What,
-                     Time From, Time To, Time Length, std::uint64_t Seed);
+FleetResult runFleet(const Deployment &Fleet, Policy Used,
+                     const Disturbance &What, Time From, Time To, Time Length,
+                     std::uint64_t Seed);
 
 } // namespace rhubarb::bench
--- a/include/rhubarb/Grants.h
+++ b/include/rhubarb/Grants.h
@@ -28,9 +28,15 @@
   Duration m_Term{0}; // Counted by the receiver from the answer on.
 };
 
+// A grant that goes out without a new ask, because a slot came free.
+struct GivenGrant {
+  std::string m_Source;
+  Grant m_Grant;
+};
+
 struct GrantLimits {
   Duration m_Term = 1500ms;
-  Duration m_ClaimTerm = 500ms; // An urgent ask keeps freed slots this long.
+  Duration m_ClaimTerm = 500ms; // An urgent ask waits this long for slots.
   Duration m_IdleReset = 10s;   // A source idle this long opens slowly again.
   int m_FirstSlots = 2;         // Cold caches: the first grant of a source.
 };
@@ -49,6 +55,9 @@
 
   // Answers an ask; renews the source's earlier grant for the same pool.
   Grant ask(const GrantAsk &Ask, const GrantRoom &Room, Time Now);
+  // Gives slots that have come free to more urgent work of others that asked in
+  // vain. Call before local work takes them.
+  std::vector<GivenGrant> serveClaims(int Pool, int FreeSlots, Time Now);
   // Starts one forwarded request. False: no such grant, over, or used up.
   bool start(GrantId Id, Time Now);
   // Ends a forwarded request that start accepted.
@@ -56,8 +65,8 @@
   // Drops grants and claims that are over. Cost: rows.
   void tick(Time Now);
 
-  // Free slots of a pool that local work of this rank must leave alone.
-  int reserved(int Pool, Rank Value, Time Now) const;
+  // Free slots of a pool that local work must leave alone.
+  int reserved(int Pool, Time Now) const;
   int grantedSlots(int Pool, Time Now) const;
   std::size_t size() const { return m_Rows.size(); }
 
@@ -82,7 +91,6 @@
 
   Row &rowOf(const std::string &Source, int Pool);
   void recordClaim(const GrantAsk &Ask, int Slots, Time Now);
-  int claimedByOthers(const GrantAsk &Ask, Time Now) const;
 
   GrantLimits m_Limits;
   GrantId m_NextId;
@@ -118,17 +126,29 @@
     Time m_Until{0};
     Time m_LastAsk{0};
     bool m_Asking = false;
+    Duration m_RoundTrip{0};    // Smoothed, of asks; 0: not known.
+    Rank m_Rank = Rank::Normal; // Of the last ask: work of this rank or above.
+    int m_Asked = 0;            // Slots of the last ask.
+    int m_Claimed = 0; // Of these, not given yet; kept free as they end.
   };
 
   // Plans asks for Wanted further slots, nearest candidates first, one ask
-  // under way for each peer and pool.
+  // under way for each peer and pool. A peer is asked only when the way there
+  // and back is much shorter than LocalWait, the wait that is met here.
   std::vector<PlannedAsk> plan(int Pool, Rank Value, int Wanted,
+                               Duration LocalWait,
                                std::vector<GrantCandidate> Candidates,
                                Time Now);
+  // Plans the return of slots that nothing of their rank waits for any more:
+  // asks for none. First is the most urgent rank that waits.
+  std::vector<PlannedAsk> planReturns(int Pool, std::optional<Rank> First,
+                                      Time Now);
   // Records the answer to an ask that left at AskedAt. The term is counted
   // from the sending, so that the source stops before the receiver does.
   void answered(const std::string &Peer, int Pool, const Grant &Given,
-                Time AskedAt);
+                Time AskedAt, Time Now);
+  // Records a grant that came without a new ask.
+  void given(const std::string &Peer, int Pool, const Grant &Given, Time Now);
   // Records that an ask got no answer.
   void failed(const std::string &Peer, int Pool);
   // Takes a slot at the nearest peer within MaxDistance; null when none.
@@ -141,6 +161,7 @@
 
 private:
   Held *find(const std::string &Peer, int Pool);
+  int claimedSlots(int Pool, Time Now) const;
 
   std::vector<Held> m_Rows;
 };
--- a/include/rhubarb/Lookup.h
+++ b/include/rhubarb/Lookup.h
@@ -81,11 +81,13 @@
 struct EntryChoice {
   std::string m_Vm;
   std::string m_Domain;
+  int m_Weight = 1; // Open slots behind it; callers spread in proportion.
 };
 
 // Orders entry VMs for one caller: the domain that the caller's hash falls
 // into first, then the caller's region, then the rest; within a domain by
-// rendezvous, so that callers spread and a lost VM moves only its own.
+// weighted rendezvous, so that callers spread in proportion to the slots and a
+// lost VM moves only its own.
 std::vector<EntryChoice>
 orderEntries(std::uint64_t CallerHash, const std::string &HomeDomain,
              const std::string &HomeRegion, const DomainShares &Shares,
--- a/include/rhubarb/Queue.h
+++ b/include/rhubarb/Queue.h
@@ -24,9 +24,12 @@
 
 struct QueueLimits {
   std::size_t m_MaxWaiting = 4096;
+  double m_ServiceSpread = 1.5;   // Longest service time over the mean.
+  double m_FloorMargin = 1.15;    // Floors are kept with this much in hand.
   double m_DeadlineShare = 0.8;   // Share of the deadline that may be planned.
   Duration m_ServiceGuess = 50ms; // Until the first measurement.
-  double m_SlowWorkRatio = 4.0;   // Ratio of service times that reserves slots.
+  double m_SlowWorkRatio = 2.0;   // Ratio of service times that reserves slots.
+  double m_MaxIdleShare = 0.01; // Of capacity that the reserve may leave idle.
   Duration m_MaxRetryAfter = 5s;
 };
 
@@ -74,6 +77,8 @@
   void expire(Time Now, const std::function<void(RequestId)> &Expired);
   // Removes one request. Returns false when it is not waiting.
   bool remove(RequestId Id);
+  // Returns the share of capacity that the reserve has left idle lately.
+  double idleShare() const { return m_IdleShare; }
   // Ages the measured rates. Call at a steady pace.
   void tick(Time Now);
 
@@ -119,6 +124,8 @@
                                         const std::vector<bool> *Allowed);
   void chargeFloors(Rank Served);
   double shareOf(Rank Value) const;
+  double runningServiceUs() const;
+  void noteHeldBack(int FreeSlots, Time Now);
   Duration jitteredRetry(Duration Wait);
 
   QueueLimits m_Limits;
@@ -134,6 +141,10 @@
   std::array<double, RankCount> m_StartedUs{}; // Slot time started this window.
   std::array<double, RankCount> m_Use{};       // Share of capacity, smoothed.
   Time m_WindowStart{0};
+  int m_HeldBack = 0; // Free slots that wait for urgent work right now.
+  Time m_HeldSince{0};
+  double m_IdleUs = 0; // Slot time held back in this window.
+  double m_IdleShare = 0;
   std::vector<Row> m_Rows;
   std::vector<std::uint32_t> m_Free;
   std::vector<ProfileQueue> m_Profiles;
--- a/include/rhubarb/Servers.h
+++ b/include/rhubarb/Servers.h
@@ -11,12 +11,13 @@
 
 namespace rhubarb {
 
-// Chooses the owner of a backend server among the live entry processes of its
-// failure domain (rendezvous hashing): every process with the same members
-// comes to the same owner, and a lost member moves only its own servers.
-// Returns an index into Members, or -1 when there are none.
-int chooseOwner(std::string_view ServerAddress,
-                std::span<const std::string> Members);
+// Assigns the backend servers of one pool in one failure domain to owners among
+// its live entry processes: rendezvous hashing, where no member gets more than
+// its even share, rounded up. Every process with the same lists comes to the
+// same owners; a lost member moves little more than its own servers. Returns an
+// index into Members for each server, or -1 when there are none.
+std::vector<int> assignOwners(std::span<const std::string> Servers,
+                              std::span<const std::string> Members);
 
 struct ServerLimits {
   Duration m_OwnerTerm = 2s;     // A previous owner has stopped after this.
--- a/lib/Grants.cpp
+++ b/lib/Grants.cpp
@@ -6,7 +6,11 @@
 namespace {
 
 constexpr Duration MinAskInterval = 100ms;
+constexpr Duration UrgentAskInterval = 50ms;
 constexpr int MaxAsksPerPlan = 3;
+constexpr Duration ClaimTerm = 500ms; // A claim not served by then is over.
+constexpr int ClaimsPerRequest = 2;   // Peers at which one request may claim.
+constexpr int WaitOverRoundTrip = 6;  // A shorter wait is not worth an ask.
 constexpr Duration SafetyMargin = 100ms; // Source stops using a grant early.
 
 } // namespace
@@ -35,13 +39,27 @@
                         Now + m_Limits.m_ClaimTerm});
 }
 
-int GrantDesk::claimedByOthers(const GrantAsk &Ask, Time Now) const {
-  int Sum = 0;
-  for (const Claim &Existing : m_Claims)
-    if (Existing.m_Pool == Ask.m_Pool && Existing.m_Source != Ask.m_Source &&
-        Existing.m_Rank <= Ask.m_Rank && Now < Existing.m_Until)
-      Sum += Existing.m_Slots;
-  return Sum;
+std::vector<GivenGrant> GrantDesk::serveClaims(int Pool, int FreeSlots,
+                                               Time Now) {
+  std::vector<GivenGrant> Given;
+  int Free = FreeSlots - reserved(Pool, Now);
+  for (Claim &Waiting : m_Claims) {
+    if (Waiting.m_Pool != Pool || Now >= Waiting.m_Until)
+      continue;
+    int Slots = std::min(Waiting.m_Slots, Free);
+    if (Slots <= 0)
+      continue;
+    Row &Target = rowOf(Waiting.m_Source, Pool);
+    bool Over = Now >= Target.m_Until;
+    Target.m_Slots = (Over ? Target.m_Busy : Target.m_Slots) + Slots;
+    Target.m_Until = Now + m_Limits.m_Term;
+    Waiting.m_Slots -= Slots;
+    Free -= Slots;
+    Given.push_back(
+        {Waiting.m_Source, {Target.m_Id, Target.m_Slots, m_Limits.m_Term}});
+  }
+  std::erase_if(m_Claims, [](const Claim &Each) { return Each.m_Slots <= 0; });
+  return Given;
 }
 
 Grant GrantDesk::ask(const GrantAsk &Ask, const GrantRoom &Room, Time Now) {
@@ -53,8 +71,8 @@
   // The earlier grant of this source ends here; what of it is idle is free.
   if (Now < Target.m_Until)
     Target.m_Until = Now;
-  int Reserved = reserved(Ask.m_Pool, Rank::Urgent, Now);
-  int Free = Room.m_FreeSlots - Reserved - claimedByOthers(Ask, Now);
+  int Reserved = reserved(Ask.m_Pool, Now);
+  int Free = Room.m_FreeSlots - Reserved;
   bool OwnWorkFirst =
       Room.m_Waiting > 0 && Room.m_FirstWaitingRank <= Ask.m_Rank;
   if (OwnWorkFirst)
@@ -101,15 +119,11 @@
                 [&](const Claim &Existing) { return Now >= Existing.m_Until; });
 }
 
-int GrantDesk::reserved(int Pool, Rank Value, Time Now) const {
+int GrantDesk::reserved(int Pool, Time Now) const {
   int Sum = 0;
   for (const Row &Existing : m_Rows)
     if (Existing.m_Pool == Pool && Now < Existing.m_Until)
       Sum += Existing.m_Slots - Existing.m_Busy;
-  for (const Claim &Existing : m_Claims)
-    if (Existing.m_Pool == Pool && Existing.m_Rank < Value &&
-        Now < Existing.m_Until)
-      Sum += Existing.m_Slots;
   return Sum;
 }
 
@@ -129,7 +143,25 @@
 }
 
 std::vector<PlannedAsk>
-GrantWallet::plan(int Pool, Rank Value, int Wanted,
+GrantWallet::planReturns(int Pool, std::optional<Rank> First, Time Now) {
+  std::vector<PlannedAsk> Returns;
+  for (Held &Row : m_Rows)
+    if (Row.m_Pool == Pool && !Row.m_Asking &&
+        (!First || *First > Row.m_Rank) &&
+        ((Row.m_Busy < Row.m_Slots && Now < Row.m_Until) ||
+         Row.m_Claimed > 0)) {
+      Row.m_Claimed = 0;
+      Row.m_Asking = true;
+      Row.m_LastAsk = Now;
+      Row.m_Slots = Row.m_Busy;
+      Row.m_Asked = 0;
+      Returns.push_back({Row.m_Peer, Pool, Rank::Batch, 0});
+    }
+  return Returns;
+}
+
+std::vector<PlannedAsk>
+GrantWallet::plan(int Pool, Rank Value, int Wanted, Duration LocalWait,
                   std::vector<GrantCandidate> Candidates, Time Now) {
   std::vector<PlannedAsk> Asks;
   std::stable_sort(Candidates.begin(), Candidates.end(),
@@ -138,46 +170,84 @@
                        return A.m_Distance < B.m_Distance;
                      return A.m_FreeSlots > B.m_FreeSlots;
                    });
+  int Claims = Wanted * ClaimsPerRequest - claimedSlots(Pool, Now);
   for (const GrantCandidate &Candidate : Candidates) {
     if (Wanted <= 0 || static_cast<int>(Asks.size()) >= MaxAsksPerPlan)
       break;
     Held *Row = find(Candidate.m_Peer, Pool);
     if (Row == nullptr) {
       m_Rows.push_back({Candidate.m_Peer, Pool, 0, 0, 0, Candidate.m_Distance,
-                        Time{0}, Time{0}, false});
+                        Time{0}, Time{0}, false, Duration{0}, Value, 0, 0});
       Row = &m_Rows.back();
-    } else if (Row->m_Asking || Now - Row->m_LastAsk < MinAskInterval) {
-      continue;
     }
     bool Urgent = Value == Rank::Urgent;
-    int Slots = Urgent ? Wanted : std::min(Wanted, Candidate.m_FreeSlots);
-    if (Slots <= 0)
+    Duration Interval = Urgent ? UrgentAskInterval : MinAskInterval;
+    bool JustAsked =
+        Row->m_LastAsk != Time{0} && Now - Row->m_LastAsk < Interval;
+    // Slots stand idle while a grant is on its way: a short wait is cheaper.
+    if (Row->m_Asking || JustAsked ||
+        Row->m_RoundTrip * WaitOverRoundTrip > LocalWait)
       continue;
+    // Without free slots there, an urgent ask claims the next ones.
+    bool Claiming = Candidate.m_FreeSlots <= 0;
+    if (Claiming && (!Urgent || (Claims <= 0 && Row->m_Claimed == 0)))
+      continue;
+    int Slots = Claiming ? 1 : std::min(Wanted, Candidate.m_FreeSlots);
+    if (Claiming && Row->m_Claimed == 0)
+      --Claims;
+    Row->m_Asked = Slots;
+    Row->m_Rank = Value;
     Row->m_Asking = true;
     Row->m_LastAsk = Now;
     Row->m_Distance = Candidate.m_Distance;
     Asks.push_back({Candidate.m_Peer, Pool, Value, Slots});
-    Wanted -= std::min(Slots, std::max(Candidate.m_FreeSlots, 1));
+    if (!Claiming)
+      Wanted -= Slots;
   }
   return Asks;
 }
 
 void GrantWallet::answered(const std::string &Peer, int Pool,
-                           const Grant &Given, Time AskedAt) {
+                           const Grant &Given, Time AskedAt, Time Now) {
   Held *Row = find(Peer, Pool);
   if (Row == nullptr)
     return;
+  Duration Took = Now - AskedAt;
+  Row->m_RoundTrip =
+      Row->m_RoundTrip.count() == 0 ? Took : (Row->m_RoundTrip * 7 + Took) / 8;
   Row->m_Asking = false;
   Row->m_Id = Given.m_Id;
+  Row->m_Claimed =
+      std::max(Row->m_Asked - std::max(Given.m_Slots - Row->m_Busy, 0), 0);
   Row->m_Slots = Given.m_Slots;
   Row->m_Until = AskedAt + Given.m_Term - SafetyMargin;
 }
 
+void GrantWallet::given(const std::string &Peer, int Pool, const Grant &Given,
+                        Time Now) {
+  Held *Row = find(Peer, Pool);
+  if (Row == nullptr)
+    return;
+  Row->m_Id = Given.m_Id;
+  Row->m_Slots = Given.m_Slots;
+  Row->m_Claimed = 0;
+  // The term began when the grant left.
+  Row->m_Until = Now + Given.m_Term - Row->m_RoundTrip - SafetyMargin;
+}
+
 void GrantWallet::failed(const std::string &Peer, int Pool) {
   if (Held *Row = find(Peer, Pool))
     Row->m_Asking = false;
 }
 
+int GrantWallet::claimedSlots(int Pool, Time Now) const {
+  int Sum = 0;
+  for (const Held &Row : m_Rows)
+    if (Row.m_Pool == Pool && Now - Row.m_LastAsk < ClaimTerm)
+      Sum += Row.m_Asking ? Row.m_Asked : Row.m_Claimed;
+  return Sum;
+}
+
 GrantWallet::Held *GrantWallet::acquire(int Pool, int MaxDistance, Time Now) {
   Held *Best = nullptr;
   for (Held &Row : m_Rows)
--- a/lib/Lookup.cpp
+++ b/lib/Lookup.cpp
@@ -1,6 +1,7 @@
 #include "rhubarb/Lookup.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rhubarb {
 namespace {
@@ -19,6 +20,15 @@
   return static_cast<std::uint32_t>(Block.m_Address & ~(Size - 1));
 }
 
+// Score of weighted rendezvous hashing: the highest wins, in proportion to the
+// weights.
+double weightedScore(const EntryChoice &Entry, std::uint64_t CallerHash) {
+  constexpr double Scale = 1.0 / 9007199254740992.0; // 2^-53
+  std::uint64_t Hash = stableHash(Entry.m_Vm, CallerHash);
+  double Unit = (static_cast<double>(Hash >> 11U) + 0.5) * Scale;
+  return -std::max(Entry.m_Weight, 1) / std::log(Unit);
+}
+
 // A block that is open while the blocks are swept in address order.
 struct OpenBlock {
   std::uint64_t m_Last;
@@ -192,13 +202,13 @@
   };
   struct Scored {
     int m_Group;
-    std::uint64_t m_Score;
+    double m_Score;
     const EntryChoice *m_Entry;
   };
   std::vector<Scored> Order;
   Order.reserve(Entries.size());
   for (const EntryChoice &Entry : Entries)
-    Order.push_back({Group(Entry), stableHash(Entry.m_Vm, CallerHash), &Entry});
+    Order.push_back({Group(Entry), weightedScore(Entry, CallerHash), &Entry});
   std::sort(Order.begin(), Order.end(), [](const Scored &A, const Scored &B) {
     if (A.m_Group != B.m_Group)
       return A.m_Group < B.m_Group;
--- a/lib/Queue.cpp
+++ b/lib/Queue.cpp
@@ -8,6 +8,7 @@
 
 constexpr double ServiceSmoothing = 0.1; // Weight of a new measurement.
 constexpr double UseSmoothing = 0.3;
+constexpr double IdleSmoothing = 0.1;
 constexpr Duration UseWindow = 200ms;
 // Credit is capped so that an idle spell does not turn into a burst.
 constexpr double MaxCreditServices = 4.0;
@@ -35,7 +36,7 @@
     m_Waiting[rankIndex(Old)] -= m_Profiles[I].m_Waiting;
     m_Waiting[rankIndex(New)] += m_Profiles[I].m_Waiting;
     m_Profiles[I].m_Settings = Profiles[I];
-    m_Floor[rankIndex(New)] += Profiles[I].m_Floor;
+    m_Floor[rankIndex(New)] += Profiles[I].m_Floor * m_Limits.m_FloorMargin;
   }
 }
 
@@ -97,6 +98,17 @@
   return std::max({Left, m_Floor[rankIndex(Value)], 0.001});
 }
 
+// Mean service time of the work that holds slots now.
+double RankQueue::runningServiceUs() const {
+  double Sum = 0;
+  int Count = 0;
+  for (std::size_t I = 0; I < RankCount; ++I) {
+    Sum += m_Running[I] * m_ServiceUs[I];
+    Count += m_Running[I];
+  }
+  return Count == 0 ? 0 : Sum / Count;
+}
+
 Duration RankQueue::predictWait(Rank Value) const {
   if (m_Capacity <= 0)
     return Duration::max();
@@ -106,7 +118,12 @@
     Busy += Count;
   if (m_WaitingTotal == 0 && Busy < m_Capacity)
     return Duration{0};
-  double Ahead = m_ServiceUs[Index] * (m_Waiting[Index] + 0.5);
+  // Above its floor a rank gets slots as they come free, at the pace of what
+  // runs in them. On its floor it is given slot time, and its own counts.
+  bool OnFloor = m_Floor[Index] > 0 && shareOf(Value) <= m_Floor[Index];
+  double Each = OnFloor ? m_ServiceUs[Index]
+                        : std::max(m_ServiceUs[Index], runningServiceUs());
+  double Ahead = Each * (m_Waiting[Index] + 0.5);
   return fromMicros(Ahead / (m_Capacity * shareOf(Value)));
 }
 
@@ -136,9 +153,11 @@
 
 // Slots are held back for the urgent rank only when urgent work arrives and
 // lower work holds its slots much longer than urgent work does: then waiting
-// for the next free slot would dominate the urgent service time.
+// for the next free slot would dominate the urgent service time. What this
+// leaves idle is bounded.
 int RankQueue::urgentReserve() const {
-  if (m_Capacity < 2 || m_Use[0] <= 0.001)
+  if (m_Capacity < 2 || m_Use[0] <= 0.001 ||
+      m_IdleShare >= m_Limits.m_MaxIdleShare)
     return 0;
   double Slowest = 0;
   for (std::size_t Lower = 1; Lower < RankCount; ++Lower)
@@ -210,9 +229,12 @@
 
 std::optional<QueuedRequest>
 RankQueue::takeFrom(int FreeSlots, Time Now, const std::vector<bool> *Allowed) {
-  if (m_WaitingTotal == 0)
-    return std::nullopt;
-  std::optional<Rank> Value = chooseRank(FreeSlots, Allowed);
+  std::optional<Rank> Value;
+  if (m_WaitingTotal > 0)
+    Value = chooseRank(FreeSlots, Allowed);
+  if (Allowed == nullptr)
+    noteHeldBack(!Value && m_WaitingTotal > 0 ? std::max(FreeSlots, 0) : 0,
+                 Now);
   if (!Value)
     return std::nullopt;
   int Profile = chooseProfile(*Value, Allowed);
@@ -229,6 +251,12 @@
   return Taken;
 }
 
+void RankQueue::noteHeldBack(int FreeSlots, Time Now) {
+  m_IdleUs += m_HeldBack * toMicros(Now - m_HeldSince);
+  m_HeldBack = FreeSlots;
+  m_HeldSince = Now;
+}
+
 std::optional<QueuedRequest> RankQueue::take(int FreeSlots, Time Now) {
   return takeFrom(FreeSlots, Now, nullptr);
 }
@@ -262,7 +290,8 @@
     for (std::uint32_t Index = Queue.m_Head; Index != NoRow;) {
       std::uint32_t Next = m_Rows[Index].m_Next;
       double Service = m_ServiceUs[rankIndex(Queue.m_Settings.m_Rank)];
-      if (Now + fromMicros(Service * 0.5) >= m_Rows[Index].m_Deadline) {
+      if (Now + fromMicros(Service * m_Limits.m_ServiceSpread) >=
+          m_Rows[Index].m_Deadline) {
         RequestId Id = m_Rows[Index].m_Id;
         unlink(Index);
         Expired(Id);
@@ -287,6 +316,9 @@
   if (Window < UseWindow)
     return;
   double Available = toMicros(Window) * std::max(m_Capacity, 1);
+  noteHeldBack(m_HeldBack, Now);
+  m_IdleShare += IdleSmoothing * (m_IdleUs / Available - m_IdleShare);
+  m_IdleUs = 0;
   for (std::size_t I = 0; I < RankCount; ++I) {
     double Use = std::min(m_StartedUs[I] / Available, 1.0);
     m_Use[I] += UseSmoothing * (Use - m_Use[I]);
--- a/lib/Servers.cpp
+++ b/lib/Servers.cpp
@@ -4,19 +4,36 @@
 
 namespace rhubarb {
 
-int chooseOwner(std::string_view ServerAddress,
-                std::span<const std::string> Members) {
-  int Best = -1;
-  std::uint64_t BestScore = 0;
-  std::uint64_t Seed = stableHash(ServerAddress);
-  for (std::size_t I = 0; I < Members.size(); ++I) {
-    std::uint64_t Score = stableHash(Members[I], Seed);
-    if (Best < 0 || Score > BestScore) {
-      Best = static_cast<int>(I);
-      BestScore = Score;
+std::vector<int> assignOwners(std::span<const std::string> Servers,
+                              std::span<const std::string> Members) {
+  std::vector<int> Owners(Servers.size(), -1);
+  if (Members.empty())
+    return Owners;
+  // In order of hashes, so that the order of the lists does not matter.
+  std::vector<std::size_t> Order(Servers.size());
+  for (std::size_t I = 0; I < Order.size(); ++I)
+    Order[I] = I;
+  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
+    return std::pair(stableHash(Servers[A]), Servers[A]) <
+           std::pair(stableHash(Servers[B]), Servers[B]);
+  });
+  std::size_t Most = (Servers.size() + Members.size() - 1) / Members.size();
+  std::vector<std::size_t> Owned(Members.size(), 0);
+  for (std::size_t Server : Order) {
+    std::uint64_t Seed = stableHash(Servers[Server]);
+    std::size_t Best = Members.size();
+    std::uint64_t BestScore = 0;
+    for (std::size_t M = 0; M < Members.size(); ++M) {
+      std::uint64_t Score = stableHash(Members[M], Seed);
+      if (Owned[M] < Most && (Best == Members.size() || Score > BestScore)) {
+        Best = M;
+        BestScore = Score;
+      }
     }
+    ++Owned[Best];
+    Owners[Server] = static_cast<int>(Best);
   }
-  return Best;
+  return Owners;
 }
 
 BackendServerTable::BackendServerTable(ServerLimits Limits, std::uint64_t Seed)
--- a/tools/rhubarb-entry/Entry.cpp
+++ b/tools/rhubarb-entry/Entry.cpp
@@ -239,8 +239,7 @@
   Json["pool"] = Pool.m_Name;
   Json["open_slots"] = m_Servers.openSlots(Found->m_Pool);
   Json["free_slots"] = m_Servers.freeSlots(Found->m_Pool);
-  Json["reserved_for_others"] =
-      m_Desk.reserved(Found->m_Pool, Chosen.m_Rank, now());
+  Json["reserved_for_others"] = m_Desk.reserved(Found->m_Pool, now());
   Json["waiting_same_rank"] = Pool.m_Queue.waiting(Chosen.m_Rank);
   Duration Wait = Pool.m_Queue.predictWait(Chosen.m_Rank);
   Json["predicted_wait_ms"] = static_cast<Json::Int64>(
--- a/tools/rhubarb-entry/Entry.h
+++ b/tools/rhubarb-entry/Entry.h
@@ -80,6 +80,7 @@
 
   // --- Dispatch (EntryDispatch.cpp)
   void pump(int Pool);
+  void serveClaims(int Pool);
   bool dispatchLocal(int Pool);
   bool dispatchRemote(int Pool);
   asio::awaitable<void> attemptLocal(PendingPtr Pending, ServerIndex Server);
@@ -109,6 +110,7 @@
   asio::awaitable<void> pollLoads();
   void planAsks(int Pool);
   asio::awaitable<void> sendAsk(PlannedAsk Ask);
+  asio::awaitable<void> sendGrant(GivenGrant Given, int Pool);
   asio::awaitable<bool> handOverKeys();
   asio::awaitable<bool> handOverTo(std::string Vm, KeyHandover Whole);
 
--- a/tools/rhubarb-entry/EntryControl.cpp
+++ b/tools/rhubarb-entry/EntryControl.cpp
@@ -54,6 +54,16 @@
                   [this](const Json::Value &Params, const std::string &Ip) {
                     return answerAsk(Params, Ip);
                   });
+  m_Rpc.addMethod("grant.give",
+                  [this](const Json::Value &Params, const std::string &Ip) {
+                    Grant Given = readGrant(Params);
+                    int Pool = m_Config.findPool(Params[4].asString());
+                    if (Pool >= 0) {
+                      m_Wallet.given(Ip, Pool, Given, now());
+                      pump(Pool);
+                    }
+                    return Json::Value(Json::objectValue);
+                  });
   m_Rpc.addMethod("keys.adopt",
                   [this](const Json::Value &Params, const std::string &) {
                     if (m_Leaving)
@@ -70,8 +80,7 @@
   Made.m_Leaving = m_Leaving;
   for (std::size_t I = 0; I < m_Pools.size(); ++I) {
     int Pool = static_cast<int>(I);
-    int Free =
-        m_Servers.freeSlots(Pool) - m_Desk.reserved(Pool, Rank::Urgent, now());
+    int Free = m_Servers.freeSlots(Pool) - m_Desk.reserved(Pool, now());
     Made.m_Pools.push_back({m_Pools[I].m_Name, m_Servers.openSlots(Pool),
                             std::max(Free, 0), m_Pools[I].m_Queue.waiting()});
   }
@@ -132,22 +141,34 @@
     if (Region == m_Region)
       LiveInRegion.push_back(Member.m_Ip);
   }
-  std::vector<ServerListing> Owned;
+  // The servers of each pool and failure domain are shared out by themselves.
+  std::map<std::pair<int, std::string>, std::vector<const ListedServer *>>
+      Groups;
   for (const ListedServer &Server : m_Snapshot.m_Servers) {
     int Pool = m_Config.findPool(Server.m_Pool);
-    if (Pool < 0)
-      continue;
-    const auto &Own = Live[Server.m_Domain];
+    if (Pool >= 0)
+      Groups[{Pool, Server.m_Domain}].push_back(&Server);
+  }
+  std::vector<ServerListing> Owned;
+  for (const auto &[Key, Servers] : Groups) {
+    const auto &[Pool, Domain] = Key;
+    const auto &Own = Live[Domain];
     const auto &Members = Own.empty() ? LiveInRegion : Own;
-    int Owner = chooseOwner(Server.m_Address, Members);
-    if (Owner < 0 || Members[static_cast<std::size_t>(Owner)] != m_Ip)
-      continue;
-    bool Leaving = Server.m_Leaving || m_Config.isDrained(Server.m_Address) ||
-                   m_Draining.contains(Server.m_Address);
-    Owned.push_back(
-        {Server.m_Address, Pool,
-         m_Config.m_Pools[static_cast<std::size_t>(Pool)].m_SlotsPerServer,
-         Leaving});
+    std::vector<std::string> Addresses;
+    Addresses.reserve(Servers.size());
+    for (const ListedServer *Server : Servers)
+      Addresses.push_back(Server->m_Address);
+    std::vector<int> Owners = assignOwners(Addresses, Members);
+    for (std::size_t I = 0; I < Servers.size(); ++I) {
+      if (Owners[I] < 0 || Members[static_cast<std::size_t>(Owners[I])] != m_Ip)
+        continue;
+      const std::string &Address = Servers[I]->m_Address;
+      bool Leaving = Servers[I]->m_Leaving || m_Config.isDrained(Address) ||
+                     m_Draining.contains(Address);
+      int Slots =
+          m_Config.m_Pools[static_cast<std::size_t>(Pool)].m_SlotsPerServer;
+      Owned.push_back({Address, Pool, Slots, Leaving});
+    }
   }
   m_Servers.update(Owned, now());
   for (const Link &Row : m_Config.m_Links) {
@@ -217,6 +238,8 @@
 void Entry::planAsks(int Pool) {
   const PoolRuntime &Runtime = m_Pools[static_cast<std::size_t>(Pool)];
   std::optional<Rank> First = Runtime.m_Queue.firstWaitingRank();
+  for (PlannedAsk &Return : m_Wallet.planReturns(Pool, First, now()))
+    spawn(m_Frame.m_Io, sendAsk(std::move(Return)));
   if (!First)
     return;
   int Reach = 0;
@@ -234,7 +257,9 @@
   }
   int Wanted =
       Runtime.m_Queue.waiting() - m_Wallet.freeSlots(Pool, Reach, now());
-  for (PlannedAsk &Ask : m_Wallet.plan(Pool, *First, Wanted, Candidates, now()))
+  for (PlannedAsk &Ask :
+       m_Wallet.plan(Pool, *First, Wanted, Runtime.m_Queue.predictWait(*First),
+                     Candidates, now()))
     spawn(m_Frame.m_Io, sendAsk(std::move(Ask)));
 }
 
@@ -252,8 +277,8 @@
                        toJson(Message, PoolName), AskedAt + AskTimeout);
   try {
     if (Got)
-      m_Wallet.answered(Ask.m_Peer, Ask.m_Pool, readGrant(Got.value()),
-                        AskedAt);
+      m_Wallet.answered(Ask.m_Peer, Ask.m_Pool, readGrant(Got.value()), AskedAt,
+                        now());
   } catch (const std::exception &Thrown) {
     logEvent(Severity::Warning, "grant_unreadable", {{"error", Thrown.what()}});
   }
@@ -263,6 +288,15 @@
     pump(Ask.m_Pool);
 }
 
+// Sends a grant that the source has claimed. A lost one is spare capacity until
+// its term ends.
+asio::awaitable<void> Entry::sendGrant(GivenGrant Given, int Pool) {
+  Json::Value Params = toJson(Given.m_Grant);
+  Params.append(m_Config.m_Pools[static_cast<std::size_t>(Pool)].m_Name);
+  co_await callRpc(m_Client, controlAddress(Given.m_Source), "grant.give",
+                   Params, now() + AskTimeout);
+}
+
 asio::awaitable<void> Entry::tickLoop() {
   while (!m_Stopped) {
     co_await sleepFor(TickInterval);
--- a/tools/rhubarb-entry/EntryDispatch.cpp
+++ b/tools/rhubarb-entry/EntryDispatch.cpp
@@ -55,7 +55,19 @@
 
 } // namespace
 
+// Slots that came free go to urgent work of others first, unless urgent work
+// waits here too.
+void Entry::serveClaims(int Pool) {
+  const RankQueue &Queue = m_Pools[static_cast<std::size_t>(Pool)].m_Queue;
+  if (Queue.firstWaitingRank().value_or(Rank::Batch) == Rank::Urgent)
+    return;
+  for (GivenGrant &Given :
+       m_Desk.serveClaims(Pool, m_Servers.freeSlots(Pool), now()))
+    spawn(m_Frame.m_Io, sendGrant(std::move(Given), Pool));
+}
+
 void Entry::pump(int Pool) {
+  serveClaims(Pool);
   updateCapacity(Pool);
   while (dispatchLocal(Pool) || dispatchRemote(Pool)) {
   }
@@ -66,7 +78,7 @@
   std::optional<Rank> First = Queue.firstWaitingRank();
   if (!First)
     return false;
-  int Free = m_Servers.freeSlots(Pool) - m_Desk.reserved(Pool, *First, now());
+  int Free = m_Servers.freeSlots(Pool) - m_Desk.reserved(Pool, now());
   std::optional<QueuedRequest> Taken = Queue.take(Free, now());
   if (!Taken)
     return false;
@@ -86,7 +98,8 @@
       continue;
     std::vector<bool> Allowed;
     for (const Profile &Row : m_Config.m_Profiles)
-      Allowed.push_back(static_cast<int>(Row.m_Reach) >= Held->m_Distance);
+      Allowed.push_back(static_cast<int>(Row.m_Reach) >= Held->m_Distance &&
+                        Row.m_Rank <= Held->m_Rank);
     std::optional<QueuedRequest> Taken =
         Queue.takeAllowed(PlentyOfSlots, now(), Allowed);
     if (!Taken) {
--- a/tools/rhubarb-lookup/Lookup.cpp
+++ b/tools/rhubarb-lookup/Lookup.cpp
@@ -208,11 +208,16 @@
   const rhubarb::Service *Found = m_Config.findService(Service);
   if (Found == nullptr)
     return refuse(ErrorKind::UnknownService, "no service '" + Service + "'");
+  const std::string &PoolName =
+      m_Config.m_Pools[static_cast<std::size_t>(Found->m_Pool)].m_Name;
   std::vector<EntryChoice> Entries;
   std::map<std::string, std::uint64_t> Incarnations;
   for (const SnapshotMember &Member : m_Snapshot.m_Members)
     if (Member.m_State == MemberState::Live && Member.m_EntryIncarnation != 0) {
-      Entries.push_back({Member.m_Ip, Member.m_Domain});
+      int Open = 0;
+      for (const PoolSummary &Pool : Member.m_Pools)
+        Open += Pool.m_Pool == PoolName ? Pool.m_Open : 0;
+      Entries.push_back({Member.m_Ip, Member.m_Domain, Open});
       Incarnations[Member.m_Ip] = Member.m_EntryIncarnation;
     }
   if (Entries.empty())
