--- /dev/null
+++ b/examples/embed.cpp
@@ -0,0 +1,80 @@
+// A whole small program with the library inside, without the daemons: one pool
+// with two backend servers, three ranks of work, a neighbour that takes work
+// under grants, and a link cap. It runs in virtual time and prints what it did.
+#include <rhubarb/rhubarb.h>
+
+#include <array>
+#include <cstdio>
+#include <vector>
+
+using namespace rhubarb;
+
+int main() {
+  // 1. Queue: three profiles, floors for the lower ranks.
+  RankQueue Queue{QueueLimits{}};
+  const std::array<QueueProfile, 3> Profiles{
+      {{Rank::Urgent, 1, 0.0}, {Rank::Normal, 2, 0.2}, {Rank::Batch, 1, 0.1}}};
+  Queue.setProfiles(Profiles);
+
+  // 2. Servers: two of four slots each; they open slowly.
+  BackendServerTable Servers{ServerLimits{}};
+  const std::vector<ServerListing> Owned{{"10.0.0.1:9000", 0, 4, false},
+                                         {"10.0.0.2:9000", 0, 4, false}};
+  Time Now{0};
+  Servers.update(Owned, Now);
+  for (int I = 0; I < 20; ++I)
+    Servers.tick(Now += 300ms);
+  Queue.setCapacity(Servers.openSlots(0));
+
+  // 3. A flood of batch work, and a little urgent work at its end.
+  int Refused = 0;
+  for (RequestId Id = 1; Id <= 400; ++Id) {
+    int Profile = Id > 395 ? 0 : 2;
+    QueueVerdict Verdict = Queue.offer(Id, Profile, Now, Now + 2s);
+    Refused += Verdict.m_Error == ErrorKind::None ? 0 : 1;
+  }
+  std::printf("waiting %d, refused at once %d\n", Queue.waiting(), Refused);
+
+  // 4. Fill the own slots: urgent work goes first.
+  std::vector<QueuedRequest> Running;
+  std::vector<ServerIndex> Slots;
+  while (auto Taken = Queue.take(Servers.freeSlots(0), Now)) {
+    Running.push_back(*Taken);
+    Slots.push_back(Servers.acquire(0));
+  }
+  std::printf("first served: %s\n", rankName(Running.front().m_Rank).data());
+
+  // 5. Ask a neighbour for slots; it grants from its free capacity.
+  GrantWallet Wallet;
+  GrantDesk Neighbour{GrantLimits{}};
+  for (const PlannedAsk &Ask :
+       Wallet.plan(0, *Queue.firstWaitingRank(), Queue.waiting(),
+                   Queue.predictWait(Rank::Batch), {{"10.0.1.1", 1, 6}}, Now)) {
+    Grant Given = Neighbour.ask({"10.0.0.9", 0, Ask.m_Rank, Ask.m_Slots},
+                                {6, 0, Rank::Batch}, Now);
+    Wallet.answered(Ask.m_Peer, 0, Given, Now, Now);
+    std::printf("granted %d slots\n", Given.m_Slots);
+  }
+
+  // 6. Send under the grant, within the link's cap.
+  LinkShare Link{LinkLimits{}, Now};
+  Link.setCap(500'000'000, 2, Now);
+  Now += 10ms;
+  int Forwarded = 0;
+  constexpr std::int64_t RequestBytes = 2000;
+  while (GrantWallet::Held *Held = Wallet.acquire(0, 1, Now)) {
+    if (!Link.charge(RequestBytes, Now) || !Neighbour.start(Held->m_Id, Now))
+      break;
+    ++Forwarded;
+  }
+  std::printf("forwarded %d, link charged %lld bytes\n", Forwarded,
+              static_cast<long long>(Link.chargedBytes()));
+
+  // 7. The end of an attempt gives the slot back and teaches the queue.
+  for (std::size_t I = 0; I < Running.size(); ++I) {
+    Servers.release(Slots[I], AttemptEnd::Answered, Now);
+    Queue.finished(Running[I].m_Rank, 20ms);
+  }
+  bool Good = Running.front().m_Rank == Rank::Urgent && Forwarded > 0;
+  return Good ? 0 : 1;
+}
--- a/include/rhubarb/Members.h
+++ b/include/rhubarb/Members.h
@@ -23,6 +23,8 @@
   std::string m_Domain;         // Failure domain.
   std::uint64_t m_Boot = 0;     // Start time of the agent, Unix milliseconds.
   std::uint64_t m_Sequence = 0; // Grows with each own heartbeat.
+  // A sign of life only: nothing below has changed since the last whole report.
+  bool m_Brief = false;
   std::uint64_t m_EntryIncarnation = 0; // 0: no entry process runs.
   bool m_Leaving = false;
   std::uint64_t m_Revision = 0;       // Configuration in force.
@@ -32,8 +34,9 @@
 };
 
 struct MemberLimits {
-  Duration m_Interval = 500ms; // Between heartbeats of one VM.
-  Duration m_SilentAfter = 2s; // No news for this long: no new work.
+  Duration m_Interval = 1s;    // Between heartbeats of one VM.
+  Duration m_SilentAfter = 3s; // No news for this long: no new work.
+  int m_RelayedSilence = 3;    // Times as long for VMs heard through others.
   int m_Fanout = 4;            // Heartbeats to members of the own domain.
   int m_RelayedRows = 4;       // Rows passed on with each heartbeat.
 };
@@ -46,6 +49,8 @@
   MemberState m_State = MemberState::Unheard;
   Time m_LastHeard{0}; // Of this VM, directly or through others.
   Time m_LastRelayed{0};
+  std::uint64_t m_WholeSequence = 0;   // Of the last whole report.
+  std::uint64_t m_RelayedSequence = 0; // Of the last whole one passed on.
 };
 
 // A row to pass on and how old its news is.
@@ -78,8 +83,10 @@
   // VMs that get this VM's next heartbeat: ring successors in its own domain,
   // and one VM of each other domain that this VM speaks to. Cost: rows.
   std::vector<std::string> contacts(std::uint64_t Round) const;
-  // The rows to pass on next: those that have waited longest.
-  std::vector<RelayedReport> rowsToRelay(Time Now);
+  // The rows to pass on to Target next, those that have waited longest first:
+  // what it does not hear directly. A row that was passed on whole goes as a
+  // sign of life until it changes.
+  std::vector<RelayedReport> rowsToRelay(const std::string &Target, Time Now);
   // Whether this VM is one of the few of its domain that watch the store.
   bool watchesStore(int Watchers) const;
   // VMs of one domain that can own servers and take new work, sorted.
@@ -92,12 +99,15 @@
 
 private:
   MemberRow *findMutable(const std::string &Vm);
+  Duration silenceLimit(const MemberRow &Row) const;
+  bool hearsDirectly(const MemberRow &Target, const MemberRow &Row) const;
   std::string speakerFor(const std::string &OtherDomain) const;
 
   std::string m_Self;
   std::string m_SelfDomain;
   MemberLimits m_Limits;
-  std::vector<MemberRow> m_Rows;
+  std::vector<MemberRow> m_Rows;                      // This VM first.
+  std::unordered_map<std::string, int> m_DomainSizes; // Of the list.
 };
 
 } // namespace rhubarb
--- a/lib/Members.cpp
+++ b/lib/Members.cpp
@@ -72,7 +72,8 @@
     if (Row == nullptr) {
       MemberRow Added;
       Added.m_Report.m_Vm = Entry.m_Vm;
-      Added.m_LastHeard = Now - m_Limits.m_SilentAfter;
+      Added.m_LastHeard =
+          Now - m_Limits.m_SilentAfter * m_Limits.m_RelayedSilence;
       m_Rows.push_back(std::move(Added));
       Row = &m_Rows.back();
     }
@@ -83,6 +84,9 @@
   std::erase_if(m_Rows, [&](const MemberRow &Row) {
     return !Listed.contains(Row.m_Report.m_Vm);
   });
+  m_DomainSizes.clear();
+  for (const MemberRow &Row : m_Rows)
+    ++m_DomainSizes[Row.m_Report.m_Domain];
 }
 
 bool MemberTable::observe(const MemberReport &Report, Duration Age, Time Now) {
@@ -90,7 +94,15 @@
   if (Row == nullptr || Report.m_Vm == m_Self ||
       !isNewer(Report, Row->m_Report))
     return false;
-  Row->m_Report = Report;
+  if (Report.m_Brief) {
+    // It says nothing about a process of which no whole report is known.
+    if (Report.m_Boot != Row->m_Report.m_Boot)
+      return false;
+    Row->m_Report.m_Sequence = Report.m_Sequence;
+  } else {
+    Row->m_Report = Report;
+    Row->m_WholeSequence = Report.m_Sequence;
+  }
   Row->m_LastHeard = std::max(Row->m_LastHeard, Now - Age);
   return true;
 }
@@ -101,6 +113,11 @@
   Row->m_LastHeard = Now;
 }
 
+Duration MemberTable::silenceLimit(const MemberRow &Row) const {
+  bool Direct = hearsDirectly(m_Rows.front(), Row);
+  return m_Limits.m_SilentAfter * (Direct ? 1 : m_Limits.m_RelayedSilence);
+}
+
 bool MemberTable::tick(Time Now) {
   bool Changed = false;
   for (MemberRow &Row : m_Rows) {
@@ -108,7 +125,7 @@
     if (Row.m_Report.m_Leaving)
       State = MemberState::Leaving;
     else if (Row.m_Report.m_Vm != m_Self &&
-             Now - Row.m_LastHeard >= m_Limits.m_SilentAfter)
+             Now - Row.m_LastHeard >= silenceLimit(Row))
       State = Row.m_Report.m_Sequence == 0 ? MemberState::Unheard
                                            : MemberState::Silent;
     Changed = Changed || State != Row.m_State;
@@ -158,11 +175,26 @@
   return Chosen;
 }
 
-std::vector<RelayedReport> MemberTable::rowsToRelay(Time Now) {
+// Whether Target gets heartbeats of Row's own: within a failure domain that is
+// no larger than the fan-out, everyone hears everyone.
+bool MemberTable::hearsDirectly(const MemberRow &Target,
+                                const MemberRow &Row) const {
+  const std::string &Domain = Row.m_Report.m_Domain;
+  if (Target.m_Report.m_Domain != Domain)
+    return false;
+  auto Found = m_DomainSizes.find(Domain);
+  return Found != m_DomainSizes.end() && Found->second - 1 <= m_Limits.m_Fanout;
+}
+
+std::vector<RelayedReport> MemberTable::rowsToRelay(const std::string &Target,
+                                                    Time Now) {
+  const MemberRow *To = find(Target);
   std::vector<MemberRow *> Fresh;
   for (MemberRow &Row : m_Rows)
-    if (Row.m_Report.m_Vm != m_Self && Row.m_Report.m_Sequence > 0 &&
-        Now - Row.m_LastHeard < m_Limits.m_SilentAfter)
+    if (Row.m_Report.m_Vm != m_Self && Row.m_Report.m_Vm != Target &&
+        Row.m_Report.m_Sequence > 0 &&
+        Now - Row.m_LastHeard < silenceLimit(Row) &&
+        (To == nullptr || !hearsDirectly(*To, Row)))
       Fresh.push_back(&Row);
   auto Count = std::min<std::size_t>(
       static_cast<std::size_t>(m_Limits.m_RelayedRows), Fresh.size());
@@ -173,8 +205,12 @@
                     });
   std::vector<RelayedReport> Chosen;
   for (std::size_t I = 0; I < Count; ++I) {
-    Fresh[I]->m_LastRelayed = Now;
-    Chosen.push_back({Fresh[I]->m_Report, Now - Fresh[I]->m_LastHeard});
+    MemberRow &Row = *Fresh[I];
+    Row.m_LastRelayed = Now;
+    RelayedReport Passed{Row.m_Report, Now - Row.m_LastHeard};
+    Passed.m_Report.m_Brief = Row.m_RelayedSequence == Row.m_WholeSequence;
+    Row.m_RelayedSequence = Row.m_WholeSequence;
+    Chosen.push_back(std::move(Passed));
   }
   return Chosen;
 }
--- a/net/Datagrams.cpp
+++ b/net/Datagrams.cpp
@@ -4,6 +4,12 @@
 
 using asio::ip::udp;
 
+namespace {
+
+constexpr std::size_t HeaderBytes = 28; // UDP 8, IPv4 20.
+
+} // namespace
+
 DatagramSocket::DatagramSocket(asio::io_context &Io, const Reachability &Reach,
                                DatagramHandler Handler)
     : m_Reach(Reach), m_Handler(std::move(Handler)), m_Socket(Io) {}
@@ -32,7 +38,8 @@
   boost::system::error_code Error;
   udp::endpoint Target(asio::ip::make_address(Ip, Error), Port);
   if (!Error)
-    m_SentBytes += m_Socket.send_to(asio::buffer(Text), Target, 0, Error);
+    m_SentBytes +=
+        m_Socket.send_to(asio::buffer(Text), Target, 0, Error) + HeaderBytes;
 }
 
 void DatagramSocket::receiveNext() {
@@ -43,7 +50,7 @@
           return;
         std::string PeerIp = m_Sender.address().to_string();
         if (!Error && m_Reach.allows(PeerIp)) {
-          m_ReceivedBytes += Bytes;
+          m_ReceivedBytes += Bytes + HeaderBytes;
           m_Handler(std::string(m_Buffer.data(), Bytes), PeerIp);
         }
         receiveNext();
--- a/net/Datagrams.h
+++ b/net/Datagrams.h
@@ -21,6 +21,7 @@
   Result<int> start(const std::string &Ip, std::uint16_t Port);
   // Sends without waiting. What the socket does not take is lost.
   void send(const std::string &Ip, std::uint16_t Port, const std::string &Text);
+  // Bytes on the wire: payload, UDP and IPv4 headers.
   std::uint64_t sentBytes() const { return m_SentBytes; }
   std::uint64_t receivedBytes() const { return m_ReceivedBytes; }
 
--- a/net/Http.h
+++ b/net/Http.h
@@ -21,12 +21,19 @@
 
 namespace asio = boost::asio;
 
+// Tells a handler that the caller has closed its connection.
+struct CallerWatch {
+  bool m_Gone = false;
+  std::function<void()> m_OnGone; // Called once, when it happens.
+};
+
 struct HttpRequest {
   std::string m_Method = "GET";
   std::string m_Target = "/";
   std::vector<HeaderField> m_Headers;
   std::string m_Body;
-  std::string m_PeerIp; // Of the sender; set by the server.
+  std::string m_PeerIp;                  // Of the sender; set by the server.
+  std::shared_ptr<CallerWatch> m_Caller; // Set by the server.
 
   // Returns a header's value, or an empty text.
   std::string_view header(std::string_view Name) const;
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -64,6 +64,29 @@
   return Gone ? ErrorKind::None : ErrorKind::BadRequest;
 }
 
+// Watches for the end of a connection while its request is handled. A request
+// that follows early is left for the next read.
+// Owner keeps the socket until the watch has ended.
+std::shared_ptr<CallerWatch> watchCaller(tcp::socket &Socket,
+                                         std::shared_ptr<void> Owner) {
+  auto Watch = std::make_shared<CallerWatch>();
+  Socket.async_wait(
+      tcp::socket::wait_read, [Watch, &Socket, Owner = std::move(Owner)](
+                                  const boost::system::error_code &Error) {
+        if (Error)
+          return;
+        boost::system::error_code PeekError;
+        char Byte = 0;
+        Socket.non_blocking(true, PeekError);
+        Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
+                       PeekError);
+        Watch->m_Gone = PeekError && PeekError != asio::error::would_block;
+        if (Watch->m_Gone && Watch->m_OnGone)
+          Watch->m_OnGone();
+      });
+  return Watch;
+}
+
 // Sends the whole header and the first bytes of the body only.
 asio::awaitable<void> writeCut(beast::tcp_stream &Stream,
                                http::response<http::string_body> &Message,
@@ -194,12 +217,16 @@
       KeepAlive = Message.keep_alive();
       Client->m_Stream.expires_never();
       ++m_Active;
+      HttpRequest Request = fromBeast(Message, Client->m_PeerIp);
+      Request.m_Caller = watchCaller(Client->m_Stream.socket(), Client);
       try {
-        Response = co_await m_Handler(fromBeast(Message, Client->m_PeerIp));
+        Response = co_await m_Handler(std::move(Request));
       } catch (const std::exception &Thrown) {
         Response = errorResponse(ErrorKind::Internal, Thrown.what());
       }
       --m_Active;
+      boost::system::error_code Ignored;
+      Client->m_Stream.socket().cancel(Ignored); // Ends the watch.
     }
     if (!m_Reach.allows(Client->m_PeerIp))
       break;
--- a/net/Messages.cpp
+++ b/net/Messages.cpp
@@ -76,6 +76,8 @@
   Json.append(static_cast<Json::Int64>(millis(Row.m_Age)));
   Json.append(static_cast<Json::UInt64>(Report.m_Boot));
   Json.append(static_cast<Json::UInt64>(Report.m_Sequence));
+  if (Report.m_Brief)
+    return Json;
   Json.append(static_cast<Json::UInt64>(Report.m_EntryIncarnation));
   Json.append(Report.m_Leaving ? 1 : 0);
   Json.append(static_cast<Json::UInt64>(Report.m_Revision));
@@ -86,12 +88,16 @@
 }
 
 RelayedReport readReport(const Value &Json) {
-  requireArray(Json, 10);
+  requireArray(Json, 4);
   RelayedReport Row;
   Row.m_Report.m_Vm = Json[0].asString();
   Row.m_Age = std::chrono::milliseconds(Json[1].asInt64());
   Row.m_Report.m_Boot = Json[2].asUInt64();
   Row.m_Report.m_Sequence = Json[3].asUInt64();
+  Row.m_Report.m_Brief = Json.size() == 4;
+  if (Row.m_Report.m_Brief)
+    return Row;
+  requireArray(Json, 10);
   Row.m_Report.m_EntryIncarnation = Json[4].asUInt64();
   Row.m_Report.m_Leaving = Json[5].asInt() != 0;
   Row.m_Report.m_Revision = Json[6].asUInt64();
@@ -245,6 +251,7 @@
   Json["sequence"] = static_cast<Json::UInt64>(Message.m_Sequence);
   Json["known"] = Message.m_ConfigKnown;
   Json["revision"] = static_cast<Json::UInt64>(Message.m_Revision);
+  Json["left_out"] = Message.m_SectionsLeftOut;
   Json["sections"] = toJson(Message.m_Sections);
   Value Members(arrayValue);
   for (const SnapshotMember &Member : Message.m_Members) {
@@ -269,6 +276,7 @@
   Message.m_ConfigKnown = Json["known"].asBool();
   Message.m_Revision = Json["revision"].asUInt64();
   Message.m_Sections = readSections(Json["sections"]);
+  Message.m_SectionsLeftOut = Json["left_out"].asBool();
   requireArray(Json["members"], 0);
   for (const Value &Row : Json["members"]) {
     requireArray(Row, 6);
--- a/net/Messages.h
+++ b/net/Messages.h
@@ -65,6 +65,7 @@
   bool m_ConfigKnown = false; // False: answer no_configuration.
   std::uint64_t m_Revision = 0;
   ConfigSections m_Sections;
+  bool m_SectionsLeftOut = false; // The receiver has this revision already.
   std::vector<SnapshotMember> m_Members;
   std::vector<ListedServer> m_Servers;
 };
--- /dev/null
+++ b/scripts/settings-page.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Writes docs/SETTINGS.md from the programs' own tables of settings.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+{
+  echo "# Settings"
+  echo
+  echo "Made by \`scripts/settings-page.sh\` from the tables that check the settings."
+  echo "A program reads an INI file (\`--config FILE\`) and single settings"
+  echo "(\`--set section.key=value\`), which go before the file. An unknown, missing or"
+  echo "out-of-range setting ends the program with exit code 2 and names file, key,"
+  echo "value and range. \`--check-config\` only checks; \`--help-config\` lists."
+  for program in rhubarb-entry rhubarb-lookup rhubarb-steer; do
+    echo
+    echo "## $program"
+    echo
+    build/bin/$program --help-config --markdown
+  done
+} >docs/SETTINGS.md
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -206,6 +206,30 @@
     }(Parts, Address));
   }
 
+  TEST_CASE("a handler learns that its caller has gone") {
+    Bench Parts;
+    int Gone = 0;
+    HttpServer Server(
+        Parts.m_Io, Parts.m_Reach, HttpServerLimits{},
+        [&](HttpRequest Request) -> asio::awaitable<HttpResponse> {
+          Request.m_Caller->m_OnGone = [&] { ++Gone; };
+          co_await sleepFor(100ms);
+          Request.m_Caller->m_OnGone = nullptr;
+          co_return jsonResponse(200, "{}");
+        });
+    auto Port = Server.start("127.0.0.1", 0);
+    REQUIRE(Port);
+    std::string Address = "127.0.0.1:" + std::to_string(Port.value());
+    Parts.run([](Bench &Used, std::string To) -> asio::awaitable<void> {
+      HttpRequest Request;
+      HttpResult Late = co_await Used.m_Client.send(To, Request, now() + 30ms);
+      CHECK(Late.m_Failure == HttpFailure::Timeout);
+      HttpResult Good = co_await Used.m_Client.send(To, Request, now() + 1s);
+      CHECK(Good.m_Failure == HttpFailure::None);
+    }(Parts, Address));
+    CHECK(Gone == 1);
+  }
+
   TEST_CASE("requests that are refused before the handler") {
     HttpServerLimits Limits;
     Limits.m_MaxHeaderBytes = 500;
--- a/tools/rhubarb-entry/Entry.h
+++ b/tools/rhubarb-entry/Entry.h
@@ -71,6 +71,7 @@
   asio::awaitable<HttpResponse> serveService(HttpRequest Request);
   asio::awaitable<AnswerPtr> serveKeyed(PendingPtr Pending, RequestKey Key);
   asio::awaitable<AnswerPtr> submit(PendingPtr Pending);
+  void giveUp(const PendingPtr &Pending);
   asio::awaitable<AnswerPtr> joinKey(std::string Key, Time Deadline);
   asio::awaitable<HttpResponse> passToHome(HttpRequest Request, HomeId Home,
                                            Time Deadline);
@@ -100,6 +101,7 @@
   asio::awaitable<HttpResponse> serveControl(HttpRequest Request);
   void bindMethods();
   void takeSnapshot(const Snapshot &Taken);
+  Json::Value needWhole() const;
   void applyConfig(const Snapshot &Taken);
   void applyServers();
   void updateCapacity(int Pool);
--- a/tools/rhubarb-entry/EntryControl.cpp
+++ b/tools/rhubarb-entry/EntryControl.cpp
@@ -38,7 +38,10 @@
       "snapshot.put", [this](const Json::Value &Params, const std::string &Ip) {
         if (Ip != m_Ip)
           throw Json::RuntimeError("snapshots come from this VM only");
-        takeSnapshot(readSnapshot(Params[0]));
+        Snapshot Taken = readSnapshot(Params[0]);
+        if (Taken.m_SectionsLeftOut && Taken.m_Revision != m_Config.m_Revision)
+          return needWhole();
+        takeSnapshot(Taken);
         m_SnapshotHash = Params[1].asString();
         return toJson(report());
       });
@@ -90,6 +93,13 @@
   return Made;
 }
 
+// Asks the agent for a snapshot with its sections.
+Json::Value Entry::needWhole() const {
+  Json::Value Json = toJson(report());
+  Json["need"] = true;
+  return Json;
+}
+
 void Entry::takeSnapshot(const Snapshot &Taken) {
   m_Snapshot = Taken;
   if (Taken.m_ConfigKnown && Taken.m_Revision > m_Config.m_Revision)
--- a/tools/rhubarb-entry/EntryRequests.cpp
+++ b/tools/rhubarb-entry/EntryRequests.cpp
@@ -219,11 +219,26 @@
     finish(Pending, makeErrorAnswer(Verdict.m_Error, "", Verdict.m_RetryAfter));
   else
     pump(Pending->m_Pool);
+  if (!Pending->m_Answer && Pending->m_Key.empty() &&
+      Pending->m_Request.m_Caller)
+    Pending->m_Request.m_Caller->m_OnGone = [this, Pending] {
+      giveUp(Pending);
+    };
   if (!Pending->m_Answer)
     co_await Pending->m_Done->async_wait(asio::as_tuple(asio::use_awaitable));
+  if (Pending->m_Request.m_Caller)
+    Pending->m_Request.m_Caller->m_OnGone = nullptr;
   co_return Pending->m_Answer;
 }
 
+// Takes a request whose caller has gone out of the queue. One that has been
+// sent, or that carries a key, goes on: its answer may be asked for again.
+void Entry::giveUp(const PendingPtr &Pending) {
+  PoolRuntime &Pool = m_Pools[static_cast<std::size_t>(Pending->m_Pool)];
+  if (!Pending->m_Answer && Pool.m_Queue.remove(Pending->m_Id))
+    finish(Pending, makeErrorAnswer(ErrorKind::CallerGone));
+}
+
 // Only the home of a key may run it. When it cannot be reached nobody can tell
 // whether it ran; but this attempt did not, and the caller is told both.
 asio::awaitable<HttpResponse> Entry::passToHome(HttpRequest Request,
--- a/tools/rhubarb-lookup/Lookup.cpp
+++ b/tools/rhubarb-lookup/Lookup.cpp
@@ -129,7 +129,13 @@
 
 Json::Value Lookup::takeSnapshot(const Json::Value &Params,
                                  const std::string &) {
-  m_Snapshot = readSnapshot(Params[0]);
+  Snapshot Taken = readSnapshot(Params[0]);
+  if (Taken.m_SectionsLeftOut && Taken.m_Revision != m_Config.m_Revision) {
+    Json::Value Json;
+    Json["need"] = true;
+    return Json;
+  }
+  m_Snapshot = std::move(Taken);
   m_SnapshotHash = Params[1].asString();
   if (m_Snapshot.m_ConfigKnown && m_Snapshot.m_Revision > m_Config.m_Revision) {
     ConfigCheck Check =
--- a/tools/rhubarb-steer/Agent.h
+++ b/tools/rhubarb-steer/Agent.h
@@ -34,6 +34,7 @@
   void takeDirectory(const Directory &Listed);
   asio::awaitable<void> heartbeatLoop();
   void sendHeartbeats();
+  bool mustSendWhole(const MemberReport &Own);
   void takeHeartbeat(const Json::Value &Params, const std::string &PeerIp);
   void catchUpWith(const MemberReport &Report);
   MemberReport ownReport();
@@ -44,7 +45,8 @@
   struct Consumer {
     std::string m_Name;
     std::string m_Address;
-    std::string m_PushedHash; // Of the last snapshot that it took.
+    std::string m_PushedHash;          // Of the last snapshot that it took.
+    std::uint64_t m_TakenRevision = 0; // Its sections need not go again.
     bool m_Up = false;
   };
   Snapshot makeSnapshot() const;
@@ -89,6 +91,8 @@
   std::uint64_t m_Boot = 0;
   std::uint64_t m_Sequence = 0;
   std::uint64_t m_Round = 0;
+  std::string m_SentUrgent; // Fields whose change goes out at once, as sent.
+  int m_WholeRounds = 0;
   std::uint64_t m_SnapshotSequence = 0;
   bool m_Leaving = false;
   bool m_Stopped = false;
--- a/tools/rhubarb-steer/AgentMembers.cpp
+++ b/tools/rhubarb-steer/AgentMembers.cpp
@@ -14,6 +14,8 @@
 constexpr Duration FetchTimeout = 2s;
 constexpr Duration StandbyPoll = 500ms;
 constexpr std::size_t MaxDatagramBytes = 1400;
+constexpr std::uint64_t WholeEveryRounds = 3;
+constexpr int RepeatWhole = 3;     // Rounds in which a change is sent whole.
 constexpr Duration EntryGone = 2s; // Without a report the entry is not offered.
 
 } // namespace
@@ -119,15 +121,32 @@
   }
 }
 
+// Whether the own report must go whole: some fields at once when they change,
+// all of them every few rounds, for those that missed one.
+bool Agent::mustSendWhole(const MemberReport &Own) {
+  std::string Urgent = std::to_string(Own.m_Revision) + " " +
+                       std::to_string(Own.m_DirectoryIndex) + " " +
+                       std::to_string(Own.m_EntryIncarnation) + " " +
+                       std::to_string(Own.m_Adopted.size()) +
+                       (Own.m_Leaving ? " leaving" : "");
+  bool Changed = Urgent != m_SentUrgent;
+  m_SentUrgent = Urgent;
+  if (Changed)
+    m_WholeRounds = RepeatWhole;
+  bool Repeat = m_WholeRounds > 0;
+  m_WholeRounds -= Repeat ? 1 : 0;
+  return Repeat || m_Round % WholeEveryRounds == 0;
+}
+
 void Agent::sendHeartbeats() {
   m_Members.setSelf(ownReport(), now());
-  const MemberReport &Own = m_Members.find(m_Ip)->m_Report;
+  MemberReport Own = m_Members.find(m_Ip)->m_Report;
+  Own.m_Brief = !mustSendWhole(Own);
   for (const std::string &Vm : m_Members.contacts(m_Round)) {
     Heartbeat Message;
     Message.m_Rows.push_back({Own, Duration{0}});
-    for (RelayedReport &Row : m_Members.rowsToRelay(now()))
-      if (Row.m_Report.m_Vm != Vm)
-        Message.m_Rows.push_back(std::move(Row));
+    for (RelayedReport &Row : m_Members.rowsToRelay(Vm, now()))
+      Message.m_Rows.push_back(std::move(Row));
     std::string Text = encodeNotification("hb", toJson(Message));
     while (Text.size() > MaxDatagramBytes && Message.m_Rows.size() > 1) {
       Message.m_Rows.pop_back();
@@ -153,7 +172,7 @@
     Row.m_Report.m_Domain =
         Known->m_Report.m_Domain; // From the list, not sent.
     if (m_Members.observe(Row.m_Report, Row.m_Age, now()) &&
-        Row.m_Report.m_Vm == PeerIp)
+        Row.m_Report.m_Vm == PeerIp && !Row.m_Report.m_Brief)
       catchUpWith(Row.m_Report);
   }
 }
--- a/tools/rhubarb-steer/AgentSnapshot.cpp
+++ b/tools/rhubarb-steer/AgentSnapshot.cpp
@@ -43,7 +43,12 @@
 }
 
 asio::awaitable<void> Agent::push(Consumer &Target) {
-  Json::Value Whole = toJson(makeSnapshot());
+  Snapshot Made = makeSnapshot();
+  Made.m_SectionsLeftOut =
+      m_Revision != 0 && Target.m_TakenRevision == m_Revision;
+  if (Made.m_SectionsLeftOut)
+    Made.m_Sections.clear();
+  Json::Value Whole = toJson(Made);
   std::string Hash = std::to_string(stableHash(compactJson(Whole)));
   bool Known = Target.m_PushedHash == Hash;
   Json::Value Params(Json::arrayValue);
@@ -59,6 +64,7 @@
       std::move(Params), now() + PushTimeout);
   bool Taken = Got && Got.value().isObject() && !Got.value()["need"].asBool();
   Target.m_PushedHash = Taken ? Hash : "";
+  Target.m_TakenRevision = Taken ? Made.m_Revision : 0;
   if (Target.m_Up != static_cast<bool>(Got))
     logEvent(Severity::Info, Got ? "process_up" : "process_down",
              {{"process", Target.m_Name}});
