--- a/include/rhubarb/Members.h
+++ b/include/rhubarb/Members.h
@@ -51,6 +51,7 @@
   Time m_LastRelayed{0};
   std::uint64_t m_WholeSequence = 0;   // Of the last whole report.
   std::uint64_t m_RelayedSequence = 0; // Of the last whole one passed on.
+  std::uint64_t m_Relays = 0;          // Times that the row was passed on.
 };
 
 // A row to pass on and how old its news is.
@@ -84,8 +85,8 @@
   // and one VM of each other domain that this VM speaks to. Cost: rows.
   std::vector<std::string> contacts(std::uint64_t Round) const;
   // The rows to pass on to Target next, those that have waited longest first:
-  // what it does not hear directly. A row that was passed on whole goes as a
-  // sign of life until it changes.
+  // what it does not hear directly. A row goes whole when it has changed, and
+  // every fourth time, for those who have not had it whole yet.
   std::vector<RelayedReport> rowsToRelay(const std::string &Target, Time Now);
   // Whether this VM is one of the few of its domain that watch the store.
   bool watchesStore(int Watchers) const;
--- a/lib/Members.cpp
+++ b/lib/Members.cpp
@@ -27,6 +27,8 @@
   return Best;
 }
 
+constexpr std::uint64_t WholeEveryRelays = 4;
+
 bool isNewer(const MemberReport &A, const MemberReport &B) {
   if (A.m_Boot != B.m_Boot)
     return A.m_Boot > B.m_Boot;
@@ -208,7 +210,9 @@
     MemberRow &Row = *Fresh[I];
     Row.m_LastRelayed = Now;
     RelayedReport Passed{Row.m_Report, Now - Row.m_LastHeard};
-    Passed.m_Report.m_Brief = Row.m_RelayedSequence == Row.m_WholeSequence;
+    bool Unchanged = Row.m_RelayedSequence == Row.m_WholeSequence;
+    Passed.m_Report.m_Brief =
+        Unchanged && ++Row.m_Relays % WholeEveryRelays != 0;
     Row.m_RelayedSequence = Row.m_WholeSequence;
     Chosen.push_back(std::move(Passed));
   }
--- a/net/Daemon.cpp
+++ b/net/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "net/Clock.h"
 #include "net/Log.h"
 #include "net/Messages.h"
+#include "net/Text.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -56,18 +57,6 @@
          "settings.\n";
 }
 
-std::vector<std::string> splitWords(const std::string &Text) {
-  std::vector<std::string> Words;
-  std::size_t At = 0;
-  while (At <= Text.size()) {
-    std::size_t Comma = std::min(Text.find(',', At), Text.size());
-    if (Comma > At)
-      Words.push_back(Text.substr(At, Comma - At));
-    At = Comma + 1;
-  }
-  return Words;
-}
-
 asio::awaitable<HttpResponse> operate(Daemon &Frame, const DaemonHooks &Hooks,
                                       HttpRequest Request) {
   if (Request.path() == "/metrics") {
@@ -81,7 +70,7 @@
     co_return jsonResponse(200, compactJson(Hooks.m_Status()) + "\n");
   if (Request.path() == "/v1/faults" && Request.m_Method == "POST" &&
       Frame.m_Settings.flag("testing.faults")) {
-    Frame.m_Reach.setCut(splitWords(std::string(Request.query("cut"))));
+    Frame.m_Reach.setCut(splitCommas(Request.query("cut")));
     co_return jsonResponse(200, "{}\n");
   }
   if (Hooks.m_Operate)
--- a/net/Http.h
+++ b/net/Http.h
@@ -71,6 +71,9 @@
   Duration m_WriteTimeout = 10s;
 };
 
+// Limits of the ports that take the system's own control messages.
+HttpServerLimits controlServerLimits();
+
 class HttpServer {
 public:
   HttpServer(asio::io_context &Io, const Reachability &Reach,
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -22,6 +22,7 @@
 using asio::ip::tcp;
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t MaxControlBytes = 16U << 20U; // Snapshots, hand-overs.
 constexpr Duration AcceptPause = 20ms; // After an error such as too many files.
 
 HttpRequest fromBeast(http::request<http::string_body> &Message,
@@ -100,6 +101,12 @@
 
 } // namespace
 
+HttpServerLimits controlServerLimits() {
+  HttpServerLimits Limits;
+  Limits.m_MaxBodyBytes = MaxControlBytes;
+  return Limits;
+}
+
 struct HttpServer::Connection {
   explicit Connection(tcp::socket Socket) : m_Stream(std::move(Socket)) {}
   beast::tcp_stream m_Stream;
--- a/net/Settings.cpp
+++ b/net/Settings.cpp
@@ -1,14 +1,13 @@
 #include "net/Settings.h"
 
 #include "net/Ini.h"
+#include "net/Text.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 #include <set>
-#include <sstream>
 #include <stdexcept>
 
 namespace rhubarb::net {
@@ -16,7 +15,7 @@
 
 constexpr int MaxPort = 65535;
 
-bool readNumber(std::string_view Text, std::int64_t &Value) {
+bool isNumber(std::string_view Text, std::int64_t &Value) {
   const char *End = Text.data() + Text.size();
   auto [Stop, Error] = std::from_chars(Text.data(), End, Value);
   return Error == std::errc() && Stop == End;
@@ -32,17 +31,8 @@
   std::size_t Colon = Text.rfind(':');
   std::int64_t Port = 0;
   return Colon != std::string::npos && isIp(Text.substr(0, Colon)) &&
-         readNumber(std::string_view(Text).substr(Colon + 1), Port) &&
-         Port > 0 && Port <= MaxPort;
-}
-
-std::vector<std::string> splitList(const std::string &Text) {
-  std::vector<std::string> Parts;
-  std::istringstream Stream(Text);
-  for (std::string Part; std::getline(Stream, Part, ',');)
-    if (!Part.empty())
-      Parts.push_back(Part);
-  return Parts;
+         isNumber(std::string_view(Text).substr(Colon + 1), Port) && Port > 0 &&
+         Port <= MaxPort;
 }
 
 // Returns what a value may be, for messages and the page of settings.
@@ -69,18 +59,18 @@
   std::int64_t Number = 0;
   switch (Row.m_Kind) {
   case SettingKind::Number:
-    return readNumber(Value, Number) && Number >= Row.m_Min &&
+    return isNumber(Value, Number) && Number >= Row.m_Min &&
            Number <= Row.m_Max;
   case SettingKind::Flag:
     return Value == "yes" || Value == "no";
   case SettingKind::Ip:
     return isIp(Value);
   case SettingKind::Address: {
-    std::vector<std::string> Parts = splitList(Value);
+    std::vector<std::string> Parts = splitCommas(Value);
     return std::all_of(Parts.begin(), Parts.end(), isAddress);
   }
   case SettingKind::Choice: {
-    std::vector<std::string> Parts = splitList(Row.m_Unit);
+    std::vector<std::string> Parts = splitCommas(Row.m_Unit);
     return std::find(Parts.begin(), Parts.end(), Value) != Parts.end();
   }
   case SettingKind::Text:
@@ -113,12 +103,10 @@
   FaultList Faults(File);
   std::map<std::string, std::string> Given;
   if (!File.empty()) {
-    std::ifstream Stream(File);
-    if (!Stream)
-      return Fault{ErrorKind::BadRequest, File + ": cannot be read\n"};
-    std::stringstream Text;
-    Text << Stream.rdbuf();
-    Result<ConfigSections> Sections = parseIni(Text.str());
+    Result<std::string> Text = readFile(File);
+    if (!Text)
+      return Fault{ErrorKind::BadRequest, Text.error().m_Text + "\n"};
+    Result<ConfigSections> Sections = parseIni(Text.value());
     if (!Sections)
       return Fault{ErrorKind::BadRequest,
                    File + ": " + Sections.error().m_Text + "\n"};
@@ -167,7 +155,7 @@
 
 std::int64_t Settings::number(const std::string &Name) const {
   std::int64_t Value = 0;
-  readNumber(text(Name), Value);
+  isNumber(text(Name), Value);
   return Value;
 }
 
@@ -180,7 +168,7 @@
 }
 
 std::vector<std::string> Settings::list(const std::string &Name) const {
-  return splitList(text(Name));
+  return splitCommas(text(Name));
 }
 
 std::string describeSettings(const SettingTable &Table, bool Markdown) {
--- /dev/null
+++ b/net/Text.h
@@ -0,0 +1,19 @@
+// Small helpers for text from files and command lines.
+#pragma once
+
+#include "rhubarb/Errors.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rhubarb::net {
+
+// Splits at commas; empty parts are left out.
+std::vector<std::string> splitCommas(std::string_view Text);
+// Reads a whole number, or returns Default for anything else.
+std::int64_t readNumber(std::string_view Text, std::int64_t Default);
+// Reads a whole file. The fault names it.
+Result<std::string> readFile(const std::string &Name);
+
+} // namespace rhubarb::net
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -20,9 +20,10 @@
 
 # pool:servers-per-domain:slots:service-ms
 pools_of() {
+  local ms=${RHUBARB_SERVICE_MS:-20}
   case "$1" in
-  drevorez) echo "catalogue:2:9:20 order:1:3:40" ;;
-  kartograf) echo "viewer:2:3:20 intake:1:3:40" ;;
+  drevorez) echo "catalogue:2:9:$ms order:1:3:40" ;;
+  kartograf) echo "viewer:2:3:$ms intake:1:3:40" ;;
   esac
 }
 
@@ -80,7 +81,7 @@
   local port=9000
   [ "$2" = "$first_pool" ] || port=9001
   start "backend-$ip:$port" "$bin/standin-backend" --ip=$ip --port=$port \
-    --slots=$4 --service-ms=$5 --runs="$run/runs/$ip-$port"
+    --slots=$4 --service-ms=$5 --spread=${RHUBARB_SPREAD:-0} --runs="$run/runs/$ip-$port"
   register "$ip:$port" "rhubarb-servers-$(region_of "$1")" $ip $port \
     "\"pool\":\"$2\",\"domain\":\"$1\",\"state\":\"live\""
 }
--- a/scripts/measure-control.sh
+++ b/scripts/measure-control.sh
@@ -43,11 +43,12 @@
 b0=$(bytes) t0=$(ticks) c0=$(calls) s0=$(date +%s.%N)
 sleep $window
 t1=$(ticks) c1=$(calls) s1=$(date +%s.%N) b1=$(bytes) s2=$(date +%s.%N)
-live=$(curl -s "http://${ips[0]}:9082/v1/status" | grep -o '"state":"live"' | wc -l)
+live=$(curl -s "http://${ips[0]}:9082/v1/status" | tr '{' '\n' |
+  grep '"domain":"r1-1"' | grep -c '"state":"live"')
 sed 's/worth = 10/worth = 11/' examples/drevorez.ini >"$run/next.ini"
 force=$("$bin/rhubarbctl" --platform="$platform" apply "$run/next.ini" --wait | grep after || echo "not within 12 s")
 awk -v n=${#ips[@]} -v d="$domains" -v b=$((b1 - b0)) -v t=$((t1 - t0)) -v c=$((c1 - c0)) \
   -v w1="$(echo "$s1 $s0" | awk '{print $1-$2}')" -v w2="$(echo "$s2 $s0" | awk '{print $1-$2}')" \
   -v m="$(rss)" -v live="$live" -v force="$force" 'BEGIN {
-  printf "%d agents, %d failure domains: %.0f B/s sent and received, %.2f%% of a core, %.1f MB, %.1f store calls/s in all, %d seen live, in force %s\n",
+  printf "%d agents, %d failure domains: %.0f B/s sent and received, %.2f%% of a core, %.1f MB, %.1f store calls/s in all, %d of its domain seen live, in force %s\n",
     n, d, b/n/w2, t/n/w1, m/n/1024, c/w1, live, force }'
--- a/test/MembersTest.cpp
+++ b/test/MembersTest.cpp
@@ -145,6 +145,12 @@
     CHECK(Outside[0].m_Report.m_Vm == vmName(0, 1));
     for (const RelayedReport &Row : Table.rowsToRelay(vmName(0, 1), 11s))
       CHECK(Row.m_Report.m_Brief);
+    // Whole again now and then, for those who have not had it whole.
+    int Whole = 0;
+    for (int Round = 0; Round < 4; ++Round)
+      for (const RelayedReport &Row : Table.rowsToRelay(vmName(0, 1), 12s))
+        Whole += Row.m_Report.m_Brief ? 0 : 1;
+    CHECK(Whole == 2);
   }
 
   TEST_CASE("the list removes, and marks as leaving") {
--- a/tools/rhubarb-call/Main.cpp
+++ b/tools/rhubarb-call/Main.cpp
@@ -5,6 +5,7 @@
 #include "net/Clock.h"
 #include "net/Crypto.h"
 #include "net/Daemon.h"
+#include "net/Text.h"
 
 #include <algorithm>
 #include <cmath>
@@ -62,15 +63,6 @@
   double m_PerSecond = 0;
 };
 
-std::vector<std::string> splitCommas(const std::string &Text) {
-  std::vector<std::string> Parts;
-  std::istringstream Stream(Text);
-  for (std::string Part; std::getline(Stream, Part, ',');)
-    if (!Part.empty())
-      Parts.push_back(Part);
-  return Parts;
-}
-
 double percentile(std::vector<double> Values, double Share) {
   if (Values.empty())
     return 0;
--- a/tools/rhubarb-entry/Entry.cpp
+++ b/tools/rhubarb-entry/Entry.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::int64_t MaxPort = 65535;
-constexpr std::size_t MaxControlBytes = 16U << 20U;
 constexpr Duration StopPoll = 20ms;
 
 HttpServerLimits dataLimits(const Settings &Values) {
@@ -23,12 +22,6 @@
   return Limits;
 }
 
-HttpServerLimits controlLimits() {
-  HttpServerLimits Limits;
-  Limits.m_MaxBodyBytes = MaxControlBytes;
-  return Limits;
-}
-
 HttpClientLimits clientLimits(const Settings &Values) {
   HttpClientLimits Limits;
   Limits.m_MaxBodyBytes =
@@ -104,7 +97,7 @@
       m_Server(
           Frame.m_Io, Frame.m_Reach, dataLimits(Frame.m_Settings),
           [this](HttpRequest Request) { return serve(std::move(Request)); }),
-      m_Control(Frame.m_Io, Frame.m_Reach, controlLimits(),
+      m_Control(Frame.m_Io, Frame.m_Reach, controlServerLimits(),
                 [this](HttpRequest Request) {
                   return serveControl(std::move(Request));
                 }),
--- a/tools/rhubarb-lookup/Lookup.cpp
+++ b/tools/rhubarb-lookup/Lookup.cpp
@@ -13,16 +13,9 @@
 namespace {
 
 constexpr std::int64_t MaxPort = 65535;
-constexpr std::size_t MaxControlBytes = 16U << 20U;
 constexpr std::size_t MaxAnswerEntries = 6;
 constexpr Duration StopPoll = 20ms;
 
-HttpServerLimits controlLimits() {
-  HttpServerLimits Limits;
-  Limits.m_MaxBodyBytes = MaxControlBytes;
-  return Limits;
-}
-
 } // namespace
 
 SettingTable lookupSettings() {
@@ -51,7 +44,7 @@
       m_Server(
           Frame.m_Io, Frame.m_Reach, HttpServerLimits{},
           [this](HttpRequest Request) { return serve(std::move(Request)); }),
-      m_Control(Frame.m_Io, Frame.m_Reach, controlLimits(),
+      m_Control(Frame.m_Io, Frame.m_Reach, controlServerLimits(),
                 [this](HttpRequest Request) {
                   return serveControl(std::move(Request));
                 }) {
--- a/tools/rhubarb-steer/Agent.cpp
+++ b/tools/rhubarb-steer/Agent.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::int64_t MaxPort = 65535;
-constexpr std::size_t MaxControlBytes = 8U << 20U;
 constexpr Duration StoreSilentWarning = 15s;
 
 MemberLimits memberLimits(const Settings &Values) {
@@ -20,12 +19,6 @@
   return Limits;
 }
 
-HttpServerLimits controlLimits() {
-  HttpServerLimits Limits;
-  Limits.m_MaxBodyBytes = MaxControlBytes;
-  return Limits;
-}
-
 } // namespace
 
 SettingTable agentSettings() {
@@ -72,7 +65,7 @@
           makeConsulStore(m_Client, Frame.m_Settings.list("platform.address"),
                           Frame.m_Settings.millis("steer.store_timeout_ms"))),
       m_Server(
-          Frame.m_Io, Frame.m_Reach, controlLimits(),
+          Frame.m_Io, Frame.m_Reach, controlServerLimits(),
           [this](HttpRequest Request) { return serve(std::move(Request)); }),
       m_Datagrams(Frame.m_Io, Frame.m_Reach,
                   [this](const std::string &Text, const std::string &PeerIp) {
--- a/tools/rhubarb-steer/AgentMembers.cpp
+++ b/tools/rhubarb-steer/AgentMembers.cpp
@@ -121,8 +121,8 @@
   }
 }
 
-// Whether the own report must go whole: some fields at once when they change,
-// all of them every few rounds, for those that missed one.
+// Whether the own report must go whole to everyone: some of its fields have
+// changed within the last rounds.
 bool Agent::mustSendWhole(const MemberReport &Own) {
   std::string Urgent = std::to_string(Own.m_Revision) + " " +
                        std::to_string(Own.m_DirectoryIndex) + " " +
@@ -135,14 +135,16 @@
     m_WholeRounds = RepeatWhole;
   bool Repeat = m_WholeRounds > 0;
   m_WholeRounds -= Repeat ? 1 : 0;
-  return Repeat || m_Round % WholeEveryRounds == 0;
+  return Repeat;
 }
 
 void Agent::sendHeartbeats() {
   m_Members.setSelf(ownReport(), now());
   MemberReport Own = m_Members.find(m_Ip)->m_Report;
-  Own.m_Brief = !mustSendWhole(Own);
+  bool Whole = mustSendWhole(Own);
   for (const std::string &Vm : m_Members.contacts(m_Round)) {
+    // Each one gets it whole every few rounds, in case it missed the change.
+    Own.m_Brief = !Whole && (m_Round + stableHash(Vm)) % WholeEveryRounds != 0;
     Heartbeat Message;
     Message.m_Rows.push_back({Own, Duration{0}});
     for (RelayedReport &Row : m_Members.rowsToRelay(Vm, now()))
--- a/tools/rhubarbctl/Main.cpp
+++ b/tools/rhubarbctl/Main.cpp
@@ -3,11 +3,10 @@
 #include "net/ConfigStore.h"
 #include "net/Daemon.h"
 #include "net/Ini.h"
+#include "net/Text.h"
 
-#include <fstream>
 #include <iomanip>
 #include <iostream>
-#include <sstream>
 
 namespace rhubarb::ctl {
 
@@ -54,15 +53,6 @@
 constexpr Duration InForceLimit = 12s;
 constexpr Duration InForcePoll = 200ms;
 
-std::vector<std::string> splitCommas(const std::string &Text) {
-  std::vector<std::string> Parts;
-  std::istringstream Stream(Text);
-  for (std::string Part; std::getline(Stream, Part, ',');)
-    if (!Part.empty())
-      Parts.push_back(Part);
-  return Parts;
-}
-
 struct VmStatus {
   std::string m_Ip;
   Result<Json::Value> m_Steer = Fault{ErrorKind::Internal, "no answer"};
@@ -98,14 +88,12 @@
   }
 
 private:
-  Result<ConfigSections> readFile() const {
+  Result<ConfigSections> readDocument() const {
     std::string Name = m_Line.value("FILE");
-    std::ifstream Stream(Name);
-    if (!Stream)
-      return Fault{ErrorKind::BadRequest, Name + ": cannot be read"};
-    std::stringstream Text;
-    Text << Stream.rdbuf();
-    Result<ConfigSections> Sections = parseIni(Text.str());
+    Result<std::string> Text = readFile(Name);
+    if (!Text)
+      return Text.error();
+    Result<ConfigSections> Sections = parseIni(Text.value());
     if (!Sections)
       return Fault{ErrorKind::BadRequest,
                    Name + ": " + Sections.error().m_Text};
@@ -119,7 +107,7 @@
   }
 
   int validate() const {
-    Result<ConfigSections> Sections = readFile();
+    Result<ConfigSections> Sections = readDocument();
     if (!Sections) {
       std::cerr << Sections.error().m_Text << "\n";
       return ExitUsage;
@@ -170,7 +158,7 @@
   // Document that the command asks for.
   Result<ConfigSections> wantedSections() const {
     if (m_Line.flag("apply"))
-      return readFile();
+      return readDocument();
     ConfigSections Wanted = m_Base.m_Sections;
     std::string Section = "drain " + m_Line.value("ADDRESS");
     if (m_Line.flag("drain")) {
