--- a/net/ConfigStore.cpp
+++ b/net/ConfigStore.cpp
@@ -112,6 +112,22 @@
 
 } // namespace
 
+Json::Value toJson(const std::vector<ConfigEdit> &Edits) {
+  Json::Value Json(Json::arrayValue);
+  for (const ConfigEdit &Edit : Edits)
+    Json.append(editObject(Edit));
+  return Json;
+}
+
+std::vector<ConfigEdit> readEdits(const Json::Value &Json) {
+  if (!Json.isArray())
+    throw Json::RuntimeError("array of edits expected");
+  std::vector<ConfigEdit> Edits;
+  for (const Json::Value &Row : Json)
+    Edits.push_back(readEdit(Row));
+  return Edits;
+}
+
 std::string encodeHead(const ConfigHead &Head) {
   Json::Value Json;
   Json["schema"] = SchemaVersion;
@@ -122,9 +138,7 @@
   Json["checkpoint_keys"] = Json::Value(Json::arrayValue);
   for (const std::string &Key : Head.m_CheckpointKeys)
     Json["checkpoint_keys"].append(Key);
-  Json["edits"] = Json::Value(Json::arrayValue);
-  for (const ConfigEdit &Edit : Head.m_Edits)
-    Json["edits"].append(editObject(Edit));
+  Json["edits"] = toJson(Head.m_Edits);
   return compactJson(Json);
 }
 
@@ -140,8 +154,7 @@
     Head.m_CheckpointHash = Json["checkpoint_hash"].asUInt64();
     for (const Json::Value &Key : Json["checkpoint_keys"])
       Head.m_CheckpointKeys.push_back(Key.asString());
-    for (const Json::Value &Row : Json["edits"])
-      Head.m_Edits.push_back(readEdit(Row));
+    Head.m_Edits = readEdits(Json["edits"]);
     return Head;
   } catch (const std::exception &Thrown) {
     return Fault{ErrorKind::Internal,
--- a/net/ConfigStore.h
+++ b/net/ConfigStore.h
@@ -25,6 +25,11 @@
   std::vector<ConfigEdit> m_Edits; // Oldest first.
 };
 
+// JSON form of edits, for the head and between agents.
+Json::Value toJson(const std::vector<ConfigEdit> &Edits);
+// Throws Json::Exception for anything of the wrong shape.
+std::vector<ConfigEdit> readEdits(const Json::Value &Json);
+
 std::string encodeHead(const ConfigHead &Head);
 Result<ConfigHead> decodeHead(const std::string &Text);
 
--- a/tools/rhubarb-steer/Agent.h
+++ b/tools/rhubarb-steer/Agent.h
@@ -25,6 +25,8 @@
   asio::awaitable<void> fetchConfigFrom(std::string Vm);
   void takeHead(const LoadedConfig &Loaded);
   void putInForce(std::uint64_t Revision, ConfigSections Sections);
+  bool applyRecent(const std::vector<ConfigEdit> &Edits);
+  void rememberEdits(const std::vector<ConfigEdit> &Edits);
   bool mayServe() const;
   Json::Value serveConfig(std::uint64_t Since) const;
 
@@ -76,6 +78,8 @@
   std::uint64_t m_Revision = 0;  // In force.
   ConfigSections m_SeenSections; // Newest, in force or not.
   std::uint64_t m_SeenRevision = 0;
+  std::vector<ConfigEdit>
+      m_Recent; // Last edits up to m_SeenRevision, in order.
   std::uint64_t m_HighestHeard = 0; // Revision that any neighbour has.
   std::uint64_t m_RejectedRevision = 0;
   bool m_StoreAnswered = false;
--- a/tools/rhubarb-steer/AgentConfig.cpp
+++ b/tools/rhubarb-steer/AgentConfig.cpp
@@ -13,6 +13,7 @@
 constexpr Duration RetryPauseSpread = 500ms;
 constexpr Duration StandbyPoll = 1s; // How often a non-watcher checks its role.
 constexpr Duration FetchTimeout = 2s;
+constexpr std::size_t MaxRecentEdits = 64;
 constexpr Duration OutageGrace = 3s; // Then neighbours alone suffice.
 
 std::string faultText(const ConfigFault &Found) {
@@ -64,8 +65,43 @@
 }
 
 void Agent::takeHead(const LoadedConfig &Loaded) {
-  if (Loaded.m_Head.m_Revision > m_SeenRevision)
-    putInForce(Loaded.m_Head.m_Revision, Loaded.m_Sections);
+  if (Loaded.m_Head.m_Revision <= m_SeenRevision)
+    return;
+  putInForce(Loaded.m_Head.m_Revision, Loaded.m_Sections);
+  m_Recent.clear();
+  rememberEdits(Loaded.m_Head.m_Edits);
+}
+
+// Keeps edits in order, so that neighbours can be served with what they lack.
+void Agent::rememberEdits(const std::vector<ConfigEdit> &Edits) {
+  for (const ConfigEdit &Edit : Edits) {
+    bool Follows =
+        m_Recent.empty() || Edit.m_Revision == m_Recent.back().m_Revision + 1;
+    // An edit whose changes only stand in a checkpoint ends the chain.
+    if (Edit.m_Changes.empty() || !Follows)
+      m_Recent.clear();
+    if (!Edit.m_Changes.empty() && Edit.m_Revision <= m_SeenRevision)
+      m_Recent.push_back(Edit);
+  }
+  while (m_Recent.size() > MaxRecentEdits)
+    m_Recent.erase(m_Recent.begin());
+}
+
+// Applies edits that follow the newest revision known here, without a gap.
+bool Agent::applyRecent(const std::vector<ConfigEdit> &Edits) {
+  if (Edits.empty() || Edits.front().m_Revision != m_SeenRevision + 1)
+    return false;
+  ConfigSections Next = m_SeenSections;
+  std::uint64_t Revision = m_SeenRevision;
+  for (const ConfigEdit &Edit : Edits) {
+    if (Edit.m_Revision != Revision + 1)
+      return false;
+    applyChanges(Next, Edit.m_Changes);
+    Revision = Edit.m_Revision;
+  }
+  putInForce(Revision, std::move(Next));
+  rememberEdits(Edits);
+  return true;
 }
 
 // Takes the newest document. One that does not check is skipped: the last good
@@ -102,11 +138,23 @@
   return Sure && m_SeenRevision >= m_HighestHeard;
 }
 
+// Answers with the edits after Since when all of them are kept, else with the
+// whole document.
 Json::Value Agent::serveConfig(std::uint64_t Since) const {
   Json::Value Json;
   Json["schema"] = SchemaVersion;
   Json["revision"] = static_cast<Json::UInt64>(m_SeenRevision);
-  if (m_SeenRevision > Since)
+  if (m_SeenRevision <= Since)
+    return Json;
+  std::vector<ConfigEdit> Lacking;
+  for (const ConfigEdit &Edit : m_Recent)
+    if (Edit.m_Revision > Since)
+      Lacking.push_back(Edit);
+  bool Complete = !Lacking.empty() && Lacking.front().m_Revision == Since + 1 &&
+                  Lacking.back().m_Revision == m_SeenRevision;
+  if (Complete)
+    Json["edits"] = toJson(Lacking);
+  else
     Json["sections"] = toJson(m_SeenSections);
   return Json;
 }
@@ -125,7 +173,11 @@
   }
   try {
     const Json::Value &Json = Got.value();
-    if (Json.isObject() && Json.isMember("sections"))
+    if (!Json.isObject())
+      co_return;
+    if (Json.isMember("edits"))
+      applyRecent(readEdits(Json["edits"]));
+    else if (Json.isMember("sections"))
       putInForce(Json["revision"].asUInt64(), readSections(Json["sections"]));
   } catch (const std::exception &Thrown) {
     logEvent(Severity::Warning, "config_fetch_unreadable",
