Satisfy the linter: a lost grant is counted, a move that moved nothing is gone

Cause: clang-tidy named an ignored result (a grant that its source did not take), a std::move into a const reference, and an int product widened. Change: rhubarb_grants_lost_total counts such grants; the others are plain edits.

--- a/bench/CostBench.cpp
+++ b/bench/CostBench.cpp
@@ -203,7 +203,7 @@
         ->Arg(Servers)
         ->Repetitions(5);
     benchmark::RegisterBenchmark("memberTick", memberTick)
-        ->Arg(Servers * 2)
+        ->Arg(std::int64_t{Servers} * 2)
         ->Repetitions(5);
   }
   benchmark::RegisterBenchmark("blockFind", blockFind)->Repetitions(5);
--- a/tools/rhubarb-entry/EntryControl.cpp
+++ b/tools/rhubarb-entry/EntryControl.cpp
@@ -303,8 +303,11 @@
 asio::awaitable<void> Entry::sendGrant(GivenGrant Given, int Pool) {
   Json::Value Params = toJson(Given.m_Grant);
   Params.append(m_Config.m_Pools[static_cast<std::size_t>(Pool)].m_Name);
-  co_await callRpc(m_Client, controlAddress(Given.m_Source), "grant.give",
-                   Params, now() + AskTimeout);
+  Result<Json::Value> Taken =
+      co_await callRpc(m_Client, controlAddress(Given.m_Source), "grant.give",
+                       Params, now() + AskTimeout);
+  if (!Taken)
+    m_Frame.m_Metrics.count("rhubarb_grants_lost_total");
 }
 
 asio::awaitable<void> Entry::tickLoop() {
--- a/tools/rhubarb-entry/EntryDispatch.cpp
+++ b/tools/rhubarb-entry/EntryDispatch.cpp
@@ -293,7 +293,7 @@
   Pending->m_Answer = Final;
   m_Pending.erase(Pending->m_Id);
   if (!Pending->m_Key.empty())
-    m_Keys.finish(Pending->m_Key, std::move(Final));
+    m_Keys.finish(Pending->m_Key, Final);
   Pending->m_Done->cancel();
 }
 
