--- a/bench/CostBench.h
+++ b/bench/CostBench.h
@@ -7,6 +7,7 @@
 
 namespace rhubarb::bench {
 
+// A measured cost and its bound.
 struct CostFigure {
   std::string m_Name;
   double m_Value = 0;
--- a/bench/FleetModel.h
+++ b/bench/FleetModel.h
@@ -67,6 +67,7 @@
   double m_ArrivalSkew = 0; // Extra share of all work that arrives in domain 0.
 };
 
+// What became of the requests of one rank.
 struct RankResult {
   std::int64_t m_Offered = 0; // First tries that arrived in the window.
   std::int64_t m_Good = 0;    // Answered whole within the deadline.
@@ -81,6 +82,7 @@
   double percentileMs(double Share) const;
 };
 
+// What a run of the model counted.
 struct FleetResult {
   std::array<RankResult, RankCount> m_Ranks; // Of the measured window.
   double m_CapacitySlotSeconds = 0;          // Of the window.
--- a/bench/VirtualTime.h
+++ b/bench/VirtualTime.h
@@ -9,6 +9,7 @@
 
 namespace rhubarb::bench {
 
+// A queue of events and the time of the current one.
 class VirtualTime {
 public:
   Time now() const { return m_Now; }
--- a/include/rhubarb/Grants.h
+++ b/include/rhubarb/Grants.h
@@ -34,6 +34,7 @@
   Grant m_Grant;
 };
 
+// Terms and pace of grants at their receiver.
 struct GrantLimits {
   Duration m_Term = 1500ms;
   Duration m_ClaimTerm = 500ms; // An urgent ask waits this long for slots.
@@ -161,6 +162,9 @@
 
 private:
   Held *find(const std::string &Peer, int Pool);
+  Held &rowOf(const GrantCandidate &Candidate, int Pool);
+  bool mayAsk(const Held &Row, Rank Value, Duration LocalWait, Time Now) const;
+  void forgetIdle(Time Now);
   int claimedSlots(int Pool, Time Now) const;
 
   std::vector<Held> m_Rows;
--- a/include/rhubarb/Keys.h
+++ b/include/rhubarb/Keys.h
@@ -88,6 +88,7 @@
   Refused, // m_Error says why.
 };
 
+// Answer to an arrival of a key.
 struct KeyAdmission {
   KeyVerdict m_Verdict = KeyVerdict::Refused;
   ErrorKind m_Error = ErrorKind::None;
@@ -110,6 +111,7 @@
   std::vector<KeyHandoverRow> m_Rows;
 };
 
+// Bounds of a key table, and how long a key lives.
 struct KeyTableLimits {
   Duration m_Lifetime = 10min; // From issue to expiry.
   Duration m_ClockSkew = 5s;   // Largest difference between VM clocks.
--- a/include/rhubarb/Links.h
+++ b/include/rhubarb/Links.h
@@ -10,6 +10,7 @@
 
 namespace rhubarb {
 
+// How much of a cap may be used, and how old a measurement may be.
 struct LinkLimits {
   double m_UsableShare = 0.95;  // Steady rate as a share of the cap.
   Duration m_Window = 100ms;    // Shortest window in which the cap holds.
--- a/include/rhubarb/Lookup.h
+++ b/include/rhubarb/Lookup.h
@@ -48,6 +48,7 @@
   double m_Headroom = 0;    // Free slots, of all pools.
 };
 
+// When callers are moved, and how far in one step.
 struct SteeringLimits {
   double m_HighUse = 0.9;   // Above it a domain sheds callers.
   double m_LowUse = 0.7;    // Below it callers come back.
--- a/include/rhubarb/Members.h
+++ b/include/rhubarb/Members.h
@@ -10,7 +10,7 @@
 
 namespace rhubarb {
 
-// What a VM says of itself. Spread by heartbeats, own row and relayed rows.
+// State of one pool at one VM.
 struct PoolSummary {
   std::string m_Pool;
   int m_Open = 0;    // Open slots of the servers that this VM owns.
@@ -18,6 +18,7 @@
   int m_Waiting = 0; // Requests in the queue.
 };
 
+// What a VM says of itself. Spread by heartbeats, as own and as relayed rows.
 struct MemberReport {
   std::string m_Vm;             // IP number of the VM; its identity.
   std::string m_Domain;         // Failure domain.
@@ -33,17 +34,19 @@
   std::vector<std::string> m_Adopted; // Homes it answers for (keyHome text).
 };
 
+// Pace and reach of the news about members.
 struct MemberLimits {
-  Duration m_Interval = 1s;    // Between heartbeats of one VM.
   Duration m_SilentAfter = 3s; // No news for this long: no new work.
   int m_RelayedSilence = 3;    // Times as long for VMs heard through others.
   int m_Fanout = 4;            // Heartbeats to members of the own domain.
   int m_RelayedRows = 4;       // Rows passed on with each heartbeat.
 };
 
+// What a VM is good for, as far as is known.
 enum class MemberState : std::uint8_t { Unheard, Live, Silent, Leaving };
 std::string_view memberStateName(MemberState Value);
 
+// A listed VM and the news of it.
 struct MemberRow {
   MemberReport m_Report;
   MemberState m_State = MemberState::Unheard;
--- a/include/rhubarb/Queue.h
+++ b/include/rhubarb/Queue.h
@@ -22,6 +22,7 @@
   double m_Floor = 0; // Share of capacity kept in a flood, 0 to 1.
 };
 
+// Bounds and margins of a rank queue.
 struct QueueLimits {
   std::size_t m_MaxWaiting = 4096;
   double m_ServiceSpread = 1.5;   // Longest service time over the mean.
--- a/include/rhubarb/Retry.h
+++ b/include/rhubarb/Retry.h
@@ -5,6 +5,7 @@
 
 namespace rhubarb {
 
+// Size of a retry budget.
 struct RetryLimits {
   double m_Share = 0.1;     // Retries per first try.
   double m_MaxSaved = 10.0; // Retries that a quiet time can save up.
--- a/include/rhubarb/Servers.h
+++ b/include/rhubarb/Servers.h
@@ -19,6 +19,7 @@
 std::vector<int> assignOwners(std::span<const std::string> Servers,
                               std::span<const std::string> Members);
 
+// How fast slots open, and when a server is left alone.
 struct ServerLimits {
   Duration m_OwnerTerm = 2s;     // A previous owner has stopped after this.
   Duration m_OpenStep = 250ms;   // Open slots double at this pace.
@@ -47,6 +48,7 @@
   Unreachable, // No connection could be made.
 };
 
+// A backend server and its slots.
 struct ServerRow {
   ServerListing m_Listing;
   bool m_Present = false;     // Listed and owned by this process.
--- a/lib/Grants.cpp
+++ b/lib/Grants.cpp
@@ -7,6 +7,7 @@
 
 constexpr Duration MinAskInterval = 100ms;
 constexpr Duration UrgentAskInterval = 50ms;
+constexpr Duration ForgetPeerAfter = 60s;
 constexpr int MaxAsksPerPlan = 3;
 constexpr Duration ClaimTerm = 500ms; // A claim not served by then is over.
 constexpr int ClaimsPerRequest = 2;   // Peers at which one request may claim.
@@ -160,53 +161,72 @@
   return Returns;
 }
 
+GrantWallet::Held &GrantWallet::rowOf(const GrantCandidate &Candidate,
+                                      int Pool) {
+  if (Held *Known = find(Candidate.m_Peer, Pool))
+    return *Known;
+  Held Added;
+  Added.m_Peer = Candidate.m_Peer;
+  Added.m_Pool = Pool;
+  m_Rows.push_back(std::move(Added));
+  return m_Rows.back();
+}
+
+// Whether a peer may be asked now, and the way there is worth it. Slots stand
+// idle while a grant is on its way, so a short wait here is cheaper.
+bool GrantWallet::mayAsk(const Held &Row, Rank Value, Duration LocalWait,
+                         Time Now) const {
+  bool Urgent = Value == Rank::Urgent;
+  Duration Interval = Urgent ? UrgentAskInterval : MinAskInterval;
+  bool JustAsked = Row.m_LastAsk != Time{0} && Now - Row.m_LastAsk < Interval;
+  return !Row.m_Asking && !JustAsked &&
+         Row.m_RoundTrip * WaitOverRoundTrip <= LocalWait;
+}
+
 std::vector<PlannedAsk>
 GrantWallet::plan(int Pool, Rank Value, int Wanted, Duration LocalWait,
                   std::vector<GrantCandidate> Candidates, Time Now) {
-  std::vector<PlannedAsk> Asks;
+  forgetIdle(Now);
   std::stable_sort(Candidates.begin(), Candidates.end(),
                    [](const GrantCandidate &A, const GrantCandidate &B) {
                      if (A.m_Distance != B.m_Distance)
                        return A.m_Distance < B.m_Distance;
                      return A.m_FreeSlots > B.m_FreeSlots;
                    });
+  std::vector<PlannedAsk> Asks;
   int Claims = Wanted * ClaimsPerRequest - claimedSlots(Pool, Now);
   for (const GrantCandidate &Candidate : Candidates) {
     if (Wanted <= 0 || static_cast<int>(Asks.size()) >= MaxAsksPerPlan)
       break;
-    Held *Row = find(Candidate.m_Peer, Pool);
-    if (Row == nullptr) {
-      m_Rows.push_back({Candidate.m_Peer, Pool, 0, 0, 0, Candidate.m_Distance,
-                        Time{0}, Time{0}, false, Duration{0}, Value, 0, 0});
-      Row = &m_Rows.back();
-    }
-    bool Urgent = Value == Rank::Urgent;
-    Duration Interval = Urgent ? UrgentAskInterval : MinAskInterval;
-    bool JustAsked =
-        Row->m_LastAsk != Time{0} && Now - Row->m_LastAsk < Interval;
-    // Slots stand idle while a grant is on its way: a short wait is cheaper.
-    if (Row->m_Asking || JustAsked ||
-        Row->m_RoundTrip * WaitOverRoundTrip > LocalWait)
+    Held &Row = rowOf(Candidate, Pool);
+    if (!mayAsk(Row, Value, LocalWait, Now))
       continue;
     // Without free slots there, an urgent ask claims the next ones.
     bool Claiming = Candidate.m_FreeSlots <= 0;
-    if (Claiming && (!Urgent || (Claims <= 0 && Row->m_Claimed == 0)))
+    bool NewClaim = Claiming && Row.m_Claimed == 0;
+    if (Claiming && (Value != Rank::Urgent || (NewClaim && Claims <= 0)))
       continue;
     int Slots = Claiming ? 1 : std::min(Wanted, Candidate.m_FreeSlots);
-    if (Claiming && Row->m_Claimed == 0)
-      --Claims;
-    Row->m_Asked = Slots;
-    Row->m_Rank = Value;
-    Row->m_Asking = true;
-    Row->m_LastAsk = Now;
-    Row->m_Distance = Candidate.m_Distance;
+    Claims -= NewClaim ? 1 : 0;
+    Wanted -= Claiming ? 0 : Slots;
+    Row.m_Asked = Slots;
+    Row.m_Rank = Value;
+    Row.m_Asking = true;
+    Row.m_LastAsk = Now;
+    Row.m_Distance = Candidate.m_Distance;
     Asks.push_back({Candidate.m_Peer, Pool, Value, Slots});
-    if (!Claiming)
-      Wanted -= Slots;
   }
   return Asks;
 }
 
+// Drops rows of peers that have not been asked for long; VMs come and go.
+void GrantWallet::forgetIdle(Time Now) {
+  std::erase_if(m_Rows, [&](const Held &Row) {
+    return Row.m_Busy == 0 && !Row.m_Asking && Row.m_LastAsk != Time{0} &&
+           Now - Row.m_LastAsk > ForgetPeerAfter;
+  });
+}
+
 void GrantWallet::answered(const std::string &Peer, int Pool,
                            const Grant &Given, Time AskedAt, Time Now) {
   Held *Row = find(Peer, Pool);
--- a/net/Caller.h
+++ b/net/Caller.h
@@ -7,6 +7,7 @@
 
 namespace rhubarb::net {
 
+// Where a caller looks up, and how long it tries.
 struct CallerOptions {
   std::vector<std::string>
       m_Lookups;            // "ip:port" of look-up processes, in order.
@@ -16,6 +17,7 @@
   RetryLimits m_Retries = {0.2, 20.0, 5.0};
 };
 
+// One call to make.
 struct Call {
   std::string m_Service;
   std::string m_Method = "POST";
@@ -24,6 +26,7 @@
   std::string m_Trace; // Reaches the backend server; empty: made up.
 };
 
+// How a call ended, after all of its attempts.
 struct CallEnd {
   Outcome m_Outcome = Outcome::NotRun;
   std::string m_Reason; // Name of the error kind; empty with Answered.
@@ -34,6 +37,7 @@
   std::string m_Body;
 };
 
+// Makes calls; one for each thread.
 class Caller {
 public:
   Caller(asio::io_context &Io, const Reachability &Reach,
--- a/net/ConfigStore.h
+++ b/net/ConfigStore.h
@@ -33,6 +33,7 @@
 std::string encodeHead(const ConfigHead &Head);
 Result<ConfigHead> decodeHead(const std::string &Text);
 
+// A head as read from the store, and its document once loaded.
 struct LoadedConfig {
   ConfigHead m_Head;
   ConfigSections m_Sections;
@@ -48,8 +49,10 @@
 asio::awaitable<Result<LoadedConfig>> loadSections(const Store &Source,
                                                    LoadedConfig Loaded);
 
+// How the writing of an edit ended.
 enum class EditEnd : std::uint8_t { Accepted, Conflict, Invalid, Unknown };
 
+// The end of an edit, with what the operator should see.
 struct EditResult {
   EditEnd m_End = EditEnd::Unknown;
   std::uint64_t m_Revision = 0;      // With Accepted.
--- a/net/Daemon.h
+++ b/net/Daemon.h
@@ -30,6 +30,7 @@
   std::function<asio::awaitable<HttpResponse>(HttpRequest)> m_Operate;
 };
 
+// Name, summary and own settings of a program.
 struct ProgramInfo {
   const char *m_Name;
   const char *m_Summary;
--- a/net/Datagrams.h
+++ b/net/Datagrams.h
@@ -13,6 +13,7 @@
 using DatagramHandler =
     std::function<void(const std::string &Text, const std::string &PeerIp)>;
 
+// A UDP socket that sends at once and hands over what it receives.
 class DatagramSocket {
 public:
   DatagramSocket(asio::io_context &Io, const Reachability &Reach,
--- a/net/Http.h
+++ b/net/Http.h
@@ -27,6 +27,7 @@
   std::function<void()> m_OnGone; // Called once, when it happens.
 };
 
+// A whole request.
 struct HttpRequest {
   std::string m_Method = "GET";
   std::string m_Target = "/";
@@ -43,6 +44,7 @@
   std::string_view query(std::string_view Name) const;
 };
 
+// A whole response.
 struct HttpResponse {
   int m_Status = 200;
   std::vector<HeaderField> m_Headers = {};
@@ -61,6 +63,7 @@
 
 using HttpHandler = std::function<asio::awaitable<HttpResponse>(HttpRequest)>;
 
+// Bounds on everything that comes from outside.
 struct HttpServerLimits {
   std::size_t m_MaxHeaderBytes = 16U << 10U;
   std::size_t m_MaxBodyBytes = 1U << 20U;
@@ -74,6 +77,7 @@
 // Limits of the ports that take the system's own control messages.
 HttpServerLimits controlServerLimits();
 
+// Accepts connections and answers whole requests by a handler.
 class HttpServer {
 public:
   HttpServer(asio::io_context &Io, const Reachability &Reach,
@@ -117,11 +121,13 @@
   TooLarge, // The response is over the limit.
 };
 
+// A response, or how far the request got.
 struct HttpResult {
   HttpFailure m_Failure = HttpFailure::None;
   HttpResponse m_Response;
 };
 
+// Bounds on responses and kept connections.
 struct HttpClientLimits {
   std::size_t m_MaxBodyBytes = 4U << 20U;
   std::size_t m_MaxIdlePerAddress = 32;
--- a/net/Log.h
+++ b/net/Log.h
@@ -8,6 +8,7 @@
 
 namespace rhubarb::net {
 
+// How much an event matters.
 enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
 
 // One field of an event.
--- a/net/Messages.cpp
+++ b/net/Messages.cpp
@@ -248,7 +248,6 @@
 Value toJson(const Snapshot &Message) {
   Value Json;
   Json["schema"] = SchemaVersion;
-  Json["sequence"] = static_cast<Json::UInt64>(Message.m_Sequence);
   Json["known"] = Message.m_ConfigKnown;
   Json["revision"] = static_cast<Json::UInt64>(Message.m_Revision);
   Json["left_out"] = Message.m_SectionsLeftOut;
@@ -272,7 +271,6 @@
 Snapshot readSnapshot(const Value &Json) {
   requireObject(Json);
   Snapshot Message;
-  Message.m_Sequence = Json["sequence"].asUInt64();
   Message.m_ConfigKnown = Json["known"].asBool();
   Message.m_Revision = Json["revision"].asUInt64();
   Message.m_Sections = readSections(Json["sections"]);
--- a/net/Messages.h
+++ b/net/Messages.h
@@ -28,13 +28,14 @@
   std::vector<RelayedReport> m_Rows;
 };
 
-// A VM or backend server of the platform's list.
+// A VM of the platform's list.
 struct ListedVm {
   std::string m_Ip;
   std::string m_Domain;
   bool m_Leaving = false;
 };
 
+// A backend server of the platform's list.
 struct ListedServer {
   std::string m_Address;
   std::string m_Pool;
@@ -61,7 +62,6 @@
 
 // What the agent pushes to the entry and look-up processes of its VM.
 struct Snapshot {
-  std::uint64_t m_Sequence = 0;
   bool m_ConfigKnown = false; // False: answer no_configuration.
   std::uint64_t m_Revision = 0;
   ConfigSections m_Sections;
--- a/net/Metrics.h
+++ b/net/Metrics.h
@@ -13,6 +13,7 @@
 // Label values by label name.
 using Labels = std::map<std::string, std::string>;
 
+// The process's registry. Families are made at first use.
 class Metrics {
 public:
   Metrics();
--- a/net/Reachability.h
+++ b/net/Reachability.h
@@ -9,6 +9,7 @@
 
 namespace rhubarb::net {
 
+// Addresses that are cut off.
 class Reachability {
 public:
   // Cuts every address that starts with one of Prefixes ("127.1.2.").
--- a/net/RpcServer.h
+++ b/net/RpcServer.h
@@ -15,6 +15,7 @@
 using RpcMethod = std::function<Json::Value(const Json::Value &Params,
                                             const std::string &PeerIp)>;
 
+// Methods by name.
 class RpcServer {
 public:
   RpcServer();
--- a/net/Settings.h
+++ b/net/Settings.h
@@ -11,6 +11,7 @@
 
 namespace rhubarb::net {
 
+// What a setting's text must be.
 enum class SettingKind : std::uint8_t {
   Number,
   Text,
--- a/net/Store.h
+++ b/net/Store.h
@@ -7,6 +7,7 @@
 
 namespace rhubarb::net {
 
+// A stored value and its versions.
 struct StoreValue {
   bool m_Exists = false;
   std::string m_Value;
@@ -14,6 +15,7 @@
   std::uint64_t m_WatchIndex = 0; // Pass to the next watch.
 };
 
+// How a compare-and-swap ended.
 enum class SwapEnd : std::uint8_t {
   Swapped,
   Conflict, // Another write came first.
--- a/tools/rhubarb-entry/Entry.h
+++ b/tools/rhubarb-entry/Entry.h
@@ -56,6 +56,7 @@
   std::optional<RetryReason> m_Retry; // Set: another attempt may follow.
 };
 
+// Connects the library's tables to sockets. One thread.
 class Entry {
 public:
   explicit Entry(Daemon &Frame);
--- a/tools/rhubarb-entry/EntryControl.cpp
+++ b/tools/rhubarb-entry/EntryControl.cpp
@@ -151,6 +151,11 @@
     if (Region == m_Region)
       LiveInRegion.push_back(Member.m_Ip);
   }
+  std::erase_if(m_Draining, [&](const std::string &Address) {
+    return std::none_of(
+        m_Snapshot.m_Servers.begin(), m_Snapshot.m_Servers.end(),
+        [&](const ListedServer &S) { return S.m_Address == Address; });
+  });
   // The servers of each pool and failure domain are shared out by themselves.
   std::map<std::pair<int, std::string>, std::vector<const ListedServer *>>
       Groups;
--- a/tools/rhubarb-lookup/Lookup.h
+++ b/tools/rhubarb-lookup/Lookup.h
@@ -13,6 +13,7 @@
 
 using namespace rhubarb::net;
 
+// Answers look-ups from the last snapshot. One thread.
 class Lookup {
 public:
   explicit Lookup(Daemon &Frame);
--- a/tools/rhubarb-steer/Agent.cpp
+++ b/tools/rhubarb-steer/Agent.cpp
@@ -12,7 +12,6 @@
 
 MemberLimits memberLimits(const Settings &Values) {
   MemberLimits Limits;
-  Limits.m_Interval = Values.millis("steer.heartbeat_ms");
   Limits.m_SilentAfter = Values.millis("steer.silent_ms");
   Limits.m_Fanout = static_cast<int>(Values.number("steer.fanout"));
   Limits.m_RelayedRows = static_cast<int>(Values.number("steer.relayed_rows"));
@@ -108,7 +107,8 @@
   spawn(m_Frame.m_Io, watchConfig());
   spawn(m_Frame.m_Io, watchDirectory());
   spawn(m_Frame.m_Io, heartbeatLoop());
-  spawn(m_Frame.m_Io, pushLoop());
+  for (Consumer &Target : m_Consumers)
+    spawn(m_Frame.m_Io, pushLoop(Target));
   return 0;
 }
 
--- a/tools/rhubarb-steer/Agent.h
+++ b/tools/rhubarb-steer/Agent.h
@@ -11,6 +11,7 @@
 
 using namespace rhubarb::net;
 
+// Keeps what all VMs must agree on, and pushes it. One thread.
 class Agent {
 public:
   explicit Agent(Daemon &Frame);
@@ -52,7 +53,7 @@
     bool m_Up = false;
   };
   Snapshot makeSnapshot() const;
-  asio::awaitable<void> pushLoop();
+  asio::awaitable<void> pushLoop(Consumer &Target);
   asio::awaitable<void> push(Consumer &Target);
   void takeEntryReport(const Json::Value &Json);
 
@@ -97,7 +98,6 @@
   std::uint64_t m_Round = 0;
   std::string m_SentUrgent; // Fields whose change goes out at once, as sent.
   int m_WholeRounds = 0;
-  std::uint64_t m_SnapshotSequence = 0;
   bool m_Leaving = false;
   bool m_Stopped = false;
   std::vector<Consumer> m_Consumers;
--- a/tools/rhubarb-steer/AgentSnapshot.cpp
+++ b/tools/rhubarb-steer/AgentSnapshot.cpp
@@ -28,18 +28,12 @@
   return Made;
 }
 
-asio::awaitable<void> Agent::pushLoop() {
+asio::awaitable<void> Agent::pushLoop(Consumer &Target) {
   Duration Interval = m_Frame.m_Settings.millis("steer.push_ms");
-  for (Consumer &Target : m_Consumers)
-    spawn(
-        m_Frame.m_Io,
-        [](Agent *Self, Consumer *To, Duration Pause) -> asio::awaitable<void> {
-          while (!Self->m_Stopped) {
-            co_await Self->push(*To);
-            co_await sleepFor(Pause);
-          }
-        }(this, &Target, Interval));
-  co_return;
+  while (!m_Stopped) {
+    co_await push(Target);
+    co_await sleepFor(Interval);
+  }
 }
 
 asio::awaitable<void> Agent::push(Consumer &Target) {
@@ -52,13 +46,9 @@
   std::string Hash = std::to_string(stableHash(compactJson(Whole)));
   bool Known = Target.m_PushedHash == Hash;
   Json::Value Params(Json::arrayValue);
-  if (Known) {
-    Params.append(Hash);
-  } else {
-    Whole["sequence"] = static_cast<Json::UInt64>(++m_SnapshotSequence);
+  if (!Known)
     Params.append(std::move(Whole));
-    Params.append(Hash);
-  }
+  Params.append(Hash);
   Result<Json::Value> Got = co_await callRpc(
       m_Client, Target.m_Address, Known ? "snapshot.keep" : "snapshot.put",
       std::move(Params), now() + PushTimeout);
