Tell of a serving entry VM at once; callers go back to their nearest look-up

Traces of the entry processes' status, a second apart: all callers sat on one VM (222 waiting, others idle). An entry VM is offered once it serves, but the news waited for the next heartbeat (1 s); callers whose own look-up knew no VM yet went to the first of the list, and stayed with it for good. Ruled out: the slots' opening (others had free slots), the lookups' weights.

--- a/net/Caller.cpp
+++ b/net/Caller.cpp
@@ -5,6 +5,7 @@
 #include "net/Crypto.h"
 #include "net/Daemon.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace rhubarb::net {
@@ -28,6 +29,17 @@
     : m_Client(Io, Reach, Options.m_BindIp), m_Options(std::move(Options)),
       m_Random(randomBits()) {}
 
+// The look-up processes, nearest first; those that have just failed come last.
+std::vector<std::string> Caller::lookupOrder() const {
+  std::vector<std::string> Order = m_Options.m_Lookups;
+  std::stable_partition(
+      Order.begin(), Order.end(), [&](const std::string &Address) {
+        auto Avoided = m_AvoidUntil.find(Address);
+        return Avoided == m_AvoidUntil.end() || now() >= Avoided->second;
+      });
+  return Order;
+}
+
 // An answer past its TTL is used on when no look-up process can be reached.
 asio::awaitable<Caller::Cached *> Caller::lookUp(const std::string &Service,
                                                  bool Refresh, Time Deadline) {
@@ -37,12 +49,10 @@
     Entry.m_Budget = RetryBudget(m_Options.m_Retries);
   if (!Refresh && now() < Entry.m_Until)
     co_return &Entry;
-  for (std::size_t Try = 0; Try < m_Options.m_Lookups.size(); ++Try) {
+  for (const std::string &Address : lookupOrder()) {
     HttpRequest Request;
     Request.m_Target = "/v1/lookup?service=" + Service +
                        "&spread=" + std::to_string(m_Random.below(64));
-    std::string Address =
-        m_Options.m_Lookups[m_NextLookup % m_Options.m_Lookups.size()];
     HttpResult Got = co_await m_Client.send(
         Address, std::move(Request), std::min(Deadline, now() + LookupTimeout));
     Result<Json::Value> Json = Fault{};
@@ -50,7 +60,7 @@
       Json = parseJson(Got.m_Response.m_Body);
     if (!Json || !Json.value().isObject() ||
         !Json.value()["entries"].isArray()) {
-      ++m_NextLookup;
+      m_AvoidUntil[Address] = now() + AvoidTime;
       continue;
     }
     const Json::Value &Answer = Json.value();
--- a/net/Caller.h
+++ b/net/Caller.h
@@ -64,6 +64,7 @@
 
   asio::awaitable<Cached *> lookUp(const std::string &Service, bool Refresh,
                                    Time Deadline);
+  std::vector<std::string> lookupOrder() const;
   // Picks the first entry VM of the look-up's order that has not just failed.
   std::string chooseEntry(const Cached &Known, int Tries) const;
   // Gets a key home from an entry VM that is known to answer.
@@ -73,8 +74,7 @@
   HttpClient m_Client;
   CallerOptions m_Options;
   std::map<std::string, Cached> m_Cache;
-  std::map<std::string, Time> m_AvoidUntil; // Entry VMs that did not answer.
-  std::size_t m_NextLookup = 0;
+  std::map<std::string, Time> m_AvoidUntil; // Addresses that did not answer.
   Random m_Random;
 };
 
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -24,6 +24,8 @@
 start_deployment "$deployment"
 ctl apply "examples/$deployment.ini" --wait
 
+echo "waiting 3 s while the backend servers' slots open"
+sleep 3
 echo "sending for $seconds s; killing one entry VM and one backend server"
 pids=()
 index=0
--- a/tools/rhubarb-steer/AgentConfig.cpp
+++ b/tools/rhubarb-steer/AgentConfig.cpp
@@ -125,6 +125,7 @@
   m_Revision = Revision;
   m_Sections = m_SeenSections;
   m_ConfigKnown = true;
+  sendHeartbeats(); // Neighbours fetch it now, not in the next round.
   logEvent(Severity::Info, "config_in_force",
            {{"revision", std::to_string(Revision)}});
 }
--- a/tools/rhubarb-steer/AgentSnapshot.cpp
+++ b/tools/rhubarb-steer/AgentSnapshot.cpp
@@ -65,8 +65,12 @@
 
 void Agent::takeEntryReport(const Json::Value &Json) {
   try {
+    bool Served = m_Entry.m_Revision > 0;
     m_Entry = readEntryReport(Json);
     m_EntryHeard = now();
+    // Look-ups everywhere may name this VM from now on: say so at once.
+    if (!Served && m_Entry.m_Revision > 0)
+      sendHeartbeats();
   } catch (const std::exception &Thrown) {
     logEvent(Severity::Warning, "entry_report_unreadable",
              {{"error", Thrown.what()}});
