Put the model's deployments and results into a file of their own

Change: bench/Deployments.cpp holds the users' deployments and what is drawn from results; no behaviour changes.

--- a/bench/FleetModel.cpp
+++ b/bench/FleetModel.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
-// Sections: deployments, results, the model (arrivals, the library's policy,
-// baselines, servers, disturbances), runFleet.
+// Sections: arrivals, the library's policy, baselines, servers, disturbances,
+// runFleet.
 
 namespace rhubarb::bench {
 namespace {
@@ -21,73 +21,6 @@
   return static_cast<double>(Value.count()) / 1e6;
 }
 
-} // namespace
-
-// --- Deployments
-
-const char *policyName(Policy Value) {
-  static constexpr const char *Names[] = {"rhubarb", "fifo-random",
-                                          "round-robin", "least-reported"};
-  return Names[static_cast<std::size_t>(Value)];
-}
-
-Deployment drevorez() {
-  Deployment Fleet;
-  Fleet.m_Name = "drevorez";
-  Fleet.m_Servers = 24;
-  Fleet.m_Slots = 9;
-  Fleet.m_InDomain = 500us;
-  Fleet.m_BetweenDomains = 4ms;
-  Fleet.m_BetweenRegions = 55ms;
-  Fleet.m_Classes = {{Rank::Urgent, Reach::Global, 0, 0.10, 100ms, 2s},
-                     {Rank::Normal, Reach::Global, 0.20, 0.20, 100ms, 2s},
-                     {Rank::Batch, Reach::Region, 0.10, 0.25, 200ms, 2s}};
-  return Fleet;
-}
-
-Deployment kartograf() {
-  Deployment Fleet;
-  Fleet.m_Name = "kartograf";
-  Fleet.m_Servers = 20;
-  Fleet.m_Slots = 3;
-  Fleet.m_InDomain = 500us;
-  Fleet.m_BetweenDomains = 3ms;
-  Fleet.m_BetweenRegions = 12ms;
-  Fleet.m_Classes = {{Rank::Urgent, Reach::Global, 0, 0.10, 100ms, 2s},
-                     {Rank::Normal, Reach::Region, 0.25, 0.25, 100ms, 1500ms},
-                     {Rank::Batch, Reach::Global, 0.10, 0.20, 400ms, 8s}};
-  return Fleet;
-}
-
-// --- Results
-
-double RankResult::goodShare() const {
-  return m_Offered == 0
-             ? 1.0
-             : static_cast<double>(m_Good) / static_cast<double>(m_Offered);
-}
-
-double RankResult::percentileMs(double Share) const {
-  if (m_LatencyMs.empty())
-    return 0;
-  std::vector<float> Sorted = m_LatencyMs;
-  auto At = static_cast<std::ptrdiff_t>(Share *
-                                        static_cast<double>(Sorted.size() - 1));
-  std::nth_element(Sorted.begin(), Sorted.begin() + At, Sorted.end());
-  return Sorted[static_cast<std::size_t>(At)];
-}
-
-double FleetResult::goodputShare() const {
-  double Sum = 0;
-  for (const RankResult &Row : m_Ranks)
-    Sum += Row.m_SlotSeconds;
-  return Sum / m_CapacitySlotSeconds;
-}
-
-// --- The model
-
-namespace {
-
 struct Request {
   int m_Class = 0;
   int m_Entry = 0; // Where it arrived.
