Bench the cost of a log line and of a flood of lines

Bounds from a budget: logging takes at most a twentieth of the smallest VM, 5 ms a second of 0.1 cores.

--- a/bench/CostBench.cpp
+++ b/bench/CostBench.cpp
@@ -1,5 +1,7 @@
 #include "bench/CostBench.h"
 
+#include "net/Log.h"
+
 #include "rhubarb/Keys.h"
 #include "rhubarb/Lookup.h"
 #include "rhubarb/Members.h"
@@ -11,8 +13,11 @@
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
+#include <fcntl.h>
+#include <limits>
 #include <map>
 #include <new>
+#include <unistd.h>
 
 namespace {
 
@@ -152,6 +157,91 @@
   }
 }
 
+// A descriptor that is closed with its owner.
+class Descriptor {
+public:
+  explicit Descriptor(int Number) : m_Number(Number) {}
+  Descriptor(const Descriptor &) = delete;
+  Descriptor &operator=(const Descriptor &) = delete;
+  ~Descriptor() { close(m_Number); }
+  int number() const { return m_Number; }
+
+private:
+  int m_Number;
+};
+
+// Logs the end of a request with the fields that a node gives it.
+void logOneRequest(std::int64_t Id) {
+  net::logEvent(net::Severity::Info, "request_failed",
+                {{"id", std::to_string(Id)},
+                 {"route", "pattern-browse"},
+                 {"rank", std::to_string(1)},
+                 {"status", std::to_string(503)},
+                 {"reason", "queue_full"},
+                 {"ms", std::to_string(Id % 1000)},
+                 {"waited_ms", std::to_string(Id % 100)},
+                 {"server", "katalog-17"},
+                 {"server_load", std::to_string(Id % 9)},
+                 {"list_age_ms", std::to_string(Id % 700)}});
+}
+
+// Lines that are all written, to a reader that takes everything; LinesPerFlush
+// as a node has them between two ticks.
+void logWritten(benchmark::State &State) {
+  constexpr std::int64_t LinesPerFlush = 20;
+  Descriptor Sink(open("/dev/null", O_WRONLY | O_CLOEXEC));
+  net::LogSettings Settings;
+  Settings.m_LinesPerSecond = std::numeric_limits<int>::max() / 2;
+  Settings.m_Descriptor = Sink.number();
+  net::startLog(Settings);
+  std::int64_t Next = 0;
+  for (auto Step : State) {
+    (void)Step;
+    logOneRequest(++Next);
+    if (Next % LinesPerFlush == 0)
+      net::flushLog();
+  }
+}
+
+// A flood: all but the first lines of each second are left out.
+void logLeftOut(benchmark::State &State) {
+  Descriptor Sink(open("/dev/null", O_WRONLY | O_CLOEXEC));
+  net::LogSettings Settings;
+  Settings.m_Descriptor = Sink.number();
+  net::startLog(Settings);
+  std::int64_t Next = 0;
+  for (auto Step : State) {
+    (void)Step;
+    logOneRequest(++Next);
+  }
+  net::flushLog();
+}
+
+// Nobody reads: the pipe and the kept lines are full, every line is dropped.
+void logUnread(benchmark::State &State) {
+  int Ends[2];
+  if (pipe2(Ends, O_CLOEXEC) != 0) {
+    State.SkipWithError("no pipe");
+    return;
+  }
+  Descriptor ReadEnd(Ends[0]);
+  Descriptor WriteEnd(Ends[1]);
+  net::LogSettings Settings;
+  Settings.m_LinesPerSecond = std::numeric_limits<int>::max() / 2;
+  Settings.m_Descriptor = WriteEnd.number();
+  net::startLog(Settings);
+  std::int64_t Next = 0;
+  while (net::logLinesDropped() == 0) {
+    logOneRequest(++Next);
+    net::flushLog();
+  }
+  for (auto Step : State) {
+    (void)Step;
+    logOneRequest(++Next);
+    net::flushLog();
+  }
+}
+
 // Keeps the CPU time of each benchmark instead of printing it.
 class Collector : public benchmark::BenchmarkReporter {
 public:
@@ -210,6 +300,10 @@
   benchmark::RegisterBenchmark("keyAdmit", keyAdmit)
       ->Iterations(200000)
       ->Repetitions(3);
+  // In this order: what the last one has kept stays in memory.
+  benchmark::RegisterBenchmark("logWritten", logWritten)->Repetitions(5);
+  benchmark::RegisterBenchmark("logLeftOut", logLeftOut)->Repetitions(5);
+  benchmark::RegisterBenchmark("logUnread", logUnread)->Repetitions(5);
   char Name[] = "bench";
   char MinTime[] = "--benchmark_min_time=0.05";
   char *Args[] = {Name, MinTime};
@@ -238,6 +332,15 @@
       1000);
   Add("key admitted, sent and ended, microseconds",
       "keyAdmit/iterations:200000/repeats:3", NanosPerMicro, 10);
+  // Logging may take a twentieth of the smallest VM, 5 ms a second of its 0.1
+  // cores: 200 lines (20 of each of ten events), and 1,000 left out in a flood.
+  constexpr double LogBudgetMicros = 5000;
+  Add("log line written, microseconds", "logWritten/repeats:5", NanosPerMicro,
+      LogBudgetMicros / 200);
+  Add("log line left out in a flood, microseconds", "logLeftOut/repeats:5",
+      NanosPerMicro, LogBudgetMicros / 1000);
+  Add("log line that nobody reads, microseconds", "logUnread/repeats:5",
+      NanosPerMicro, LogBudgetMicros / 200);
   constexpr double NanosPerSecond = 1e9;
   // 810,000 look-ups a second over 2,000 daemons; a thousandfold in hand.
   Figures.push_back({"block look-ups a second on one core",
