Read from the store what a reader cannot pass on in time

Cause: in a region of a hundred VMs with 3,000 backend servers, news of more than 120 changed rows was left out, so every VM fetched the whole list (300 kB) from the one VM that reads. Its link of 10 Mbit/s was full for seconds, fetches timed out and began anew, and news of the configuration waited behind them. Watches hold 500 changes at most; between two of them a VM waited for news and half a second.

Change: what a reader sends at once is bounded by a third of a second of the smallest link (400 kB for the whole region; configurations too). A VM that lacks changes for half a second watches the store from its own revision, part after part without a pause; a peer is asked when the store has not answered for a second. The cap of 120 rows in a message became one of bytes.

Tests first failed: "many changes at once do not fill the reader's link", "a VM that lacks changes reads them within half a bound". The case "121 rows are left out" of "news goes in as many datagrams..." is replaced by byte limits of the same size.

--- a/include/rhubarb/Readers.h
+++ b/include/rhubarb/Readers.h
@@ -22,6 +22,11 @@
 // Whether one VM goes before another in every such order.
 bool readsBefore(const std::string &First, const std::string &Second);
 
+// Returns how many bytes of changes a reader sends to each of the region's VMs
+// at once. Changes that are larger the VMs read from the control plane: passed
+// on, they would fill the reader's link and hold up all other news.
+std::size_t bytesToTell(std::size_t Vms);
+
 // Whether this VM reads one kind of news itself. All times derive from the
 // bound within which a change must be known on every VM.
 class ReaderDuty {
@@ -32,6 +37,18 @@
   // Takes news of a VM that goes before this one; it was complete Age ago. Such
   // a VM reads even if this one does not know yet that it lives.
   void heard(Duration Age, Time Now);
+  // Takes up to which revision of the control plane another VM knows all.
+  void told(std::uint64_t Revision, Time Now);
+  // Takes up to which revision this VM knows all. An answer of the control
+  // plane may hold a part only: the rest is read without a pause.
+  void complete(std::uint64_t Revision, Time Now);
+  // Whether others know of changes that this VM lacks.
+  bool lacks() const { return m_Told > m_Complete; }
+  // Whether a peer is to be asked for what this VM lacks: the control plane has
+  // not given it in time.
+  bool shouldAskPeer(Time Now) const;
+  // Records that a peer is asked; the next one no sooner than after a pause.
+  void asksPeer(Time Now) { m_LacksSince = Now; }
   // KnownAt: what this VM knows was complete then; 0: it knows nothing.
   bool shouldRead(std::size_t OwnRank, Time KnownAt, Time Now) const;
   // Returns the age from which news tells nothing of its sender.
@@ -44,7 +61,11 @@
 
 private:
   Duration m_Bound;
-  Time m_HeardAt{0}; // Last news from a VM that goes before this one.
+  Time m_HeardAt{0};    // Last news from a VM that goes before this one.
+  std::uint64_t m_Told = 0;
+  std::uint64_t m_Complete = 0;
+  Time m_LacksSince{0};   // Or since the last progress.
+  bool m_ReadsOn = false; // Has read a part of what it lacked.
 };
 
 } // namespace rhubarb
--- a/lib/Readers.cpp
+++ b/lib/Readers.cpp
@@ -15,6 +15,13 @@
 constexpr double StepInShare = 0.5;
 // Between one VM that steps in and the next: longer than a read takes.
 constexpr Duration StepInPause = 150ms;
+// News is repeated within this time: a lost datagram costs no read.
+constexpr Duration CatchUpPause = 500ms;
+// VMs that lack the same read one after the other, over half a second.
+constexpr std::size_t CatchUpSlots = 16;
+constexpr Duration CatchUpSlot = 30ms;
+// A third of a second of a link of 10 Mbit/s, the smallest VM's.
+constexpr std::size_t ReaderBurstBytes = 400'000;
 
 Duration scaled(Duration Whole, double Share) {
   return Duration(
@@ -36,12 +43,40 @@
       }));
 }
 
+std::size_t bytesToTell(std::size_t Vms) {
+  return ReaderBurstBytes / std::max<std::size_t>(Vms, 1);
+}
+
 void ReaderDuty::heard(Duration Age, Time Now) {
   if (Age < tooOld())
     m_HeardAt = Now;
 }
 
+void ReaderDuty::told(std::uint64_t Revision, Time Now) {
+  if (!lacks()) {
+    m_LacksSince = Now;
+    m_ReadsOn = false;
+  }
+  m_Told = std::max(m_Told, Revision);
+}
+
+void ReaderDuty::complete(std::uint64_t Revision, Time Now) {
+  if (Revision <= m_Complete)
+    return;
+  m_ReadsOn = lacks();
+  m_Complete = Revision;
+  m_LacksSince = Now;
+}
+
+bool ReaderDuty::shouldAskPeer(Time Now) const {
+  return lacks() && Now - m_LacksSince >= 2 * CatchUpPause;
+}
+
 bool ReaderDuty::shouldRead(std::size_t OwnRank, Time KnownAt, Time Now) const {
+  Duration CatchUp = CatchUpPause + CatchUpSlot * static_cast<std::int64_t>(
+                                                      OwnRank % CatchUpSlots);
+  if (lacks() && (m_ReadsOn || Now - m_LacksSince >= CatchUp))
+    return true;
   bool Heard = m_HeardAt.count() > 0;
   if (OwnRank == 0 && (!Heard || Now - m_HeardAt >= tooOld()))
     return true;
--- a/net/ListNews.cpp
+++ b/net/ListNews.cpp
@@ -100,11 +100,12 @@
   return News;
 }
 
-std::vector<std::string> listNewsTexts(ListNews News, Time Now) {
+std::vector<std::string> listNewsTexts(ListNews News, std::size_t MaxBytes,
+                                       Time Now) {
   std::vector<ListedRow> Rows = std::exchange(News.m_Rows, {});
-  if (Rows.size() > MaxNewsRows)
-    Rows.clear();
+  std::string WithoutRows = encodeNotification("list", toJson(News, Now));
   std::vector<std::string> Texts;
+  std::size_t Bytes = 0;
   std::size_t Next = 0;
   do {
     std::size_t Count = std::min(RowsPerDatagram, Rows.size() - Next);
@@ -117,6 +118,9 @@
       if (Text.size() <= MaxDatagramBytes || Count <= 1)
         break;
     }
+    Bytes += Text.size();
+    if (Bytes > MaxBytes)
+      return {std::move(WithoutRows)};
     Texts.push_back(std::move(Text));
     Next += std::max<std::size_t>(Count, 1);
   } while (Next < Rows.size());
--- a/net/ListNews.h
+++ b/net/ListNews.h
@@ -31,9 +31,10 @@
 Json::Value toJson(const ListNews &News, Time Now);
 // Reads it; throws Json::Exception for a message of the wrong shape.
 ListNews readListNews(const Json::Value &Json, Time Now);
-// Returns notifications that fit into a datagram each. Rows beyond MaxNewsRows
-// are left out: the receiver sees by the digest what it lacks.
-std::vector<std::string> listNewsTexts(ListNews News, Time Now);
-inline constexpr std::size_t MaxNewsRows = 120;
+// Returns notifications that fit into a datagram each. If they would be longer
+// than MaxBytes in all, it is one without rows: the receiver sees by the digest
+// that it lacks some.
+std::vector<std::string> listNewsTexts(ListNews News, std::size_t MaxBytes,
+                                       Time Now);
 
 } // namespace rhubarb::net
--- a/test/ListingTest.cpp
+++ b/test/ListingTest.cpp
@@ -1,4 +1,5 @@
 #include "rhubarb/Listing.h"
+#include "rhubarb/Readers.h"
 
 #include "net/ListNews.h"
 #include "net/Messages.h"
@@ -143,11 +144,13 @@
   TEST_CASE("news goes in as many datagrams as it needs, or without rows") {
     struct Row {
       std::size_t m_Rows;
+      std::size_t m_MaxBytes;
       bool m_AllSent;
     };
     for (const Row &Case :
-         {Row{0, true}, Row{1, true}, Row{12, true}, Row{13, true},
-          Row{MaxNewsRows, true}, Row{MaxNewsRows + 1, false}}) {
+         {Row{0, 16000, true}, Row{1, 16000, true}, Row{12, 16000, true},
+          Row{13, 16000, true}, Row{120, 16000, true}, Row{600, 16000, false},
+          Row{12, 1400, true}, Row{30, 1400, false}}) {
       CAPTURE(Case.m_Rows);
       ListNews News;
       News.m_Revision = 7;
@@ -155,9 +158,12 @@
         News.m_Rows.push_back(
             {server("i-" + std::to_string(I)), 5, false, Time{0}});
       std::size_t Sent = 0;
-      std::vector<std::string> Texts = listNewsTexts(News, 1s);
+      std::size_t Bytes = 0;
+      std::vector<std::string> Texts =
+          listNewsTexts(News, Case.m_MaxBytes, 1s);
       for (std::size_t I = 0; I < Texts.size(); ++I) {
         CHECK(Texts[I].size() <= MaxDatagramBytes);
+        Bytes += Texts[I].size();
         Result<Json::Value> Parsed = parseJson(Texts[I]);
         REQUIRE(Parsed);
         ListNews Got = readListNews(Parsed.value()["params"], 1s);
@@ -165,9 +171,31 @@
         CHECK(Got.m_More == (I + 1 < Texts.size()));
       }
       CHECK(Sent == (Case.m_AllSent ? Case.m_Rows : 0));
+      CHECK(Bytes <= Case.m_MaxBytes);
+      CHECK((Case.m_AllSent || Texts.size() == 1));
     }
   }
 
+  // Pattern: some of a large service's servers come at once. What the reader
+  // sends must leave room on the smallest VM's link, 10 Mbit/s, for other news.
+  TEST_CASE("many changes at once do not fill the reader's link") {
+    constexpr std::size_t LinkBytesPerSecond = 1'250'000;
+    for (std::size_t Vms : {5U, 20U, 100U, 330U})
+      for (std::size_t Rows : {1U, 12U, 120U, 300U, 3000U}) {
+        CAPTURE(Vms);
+        CAPTURE(Rows);
+        ListNews News;
+        for (std::size_t I = 0; I < Rows; ++I)
+          News.m_Rows.push_back(
+              {server("i-" + std::to_string(I)), 5, false, Time{0}});
+        std::size_t Bytes = 0;
+        for (const std::string &Text :
+             listNewsTexts(News, bytesToTell(Vms), 1s))
+          Bytes += Text.size();
+        CHECK(Bytes * Vms <= LinkBytesPerSecond / 2);
+      }
+  }
+
   TEST_CASE("places go in as many datagrams as they need") {
     for (std::size_t Objects : {0U, 1U, 29U, 30U, 31U, 90U, 200U}) {
       CAPTURE(Objects);
--- a/test/ReadersTest.cpp
+++ b/test/ReadersTest.cpp
@@ -162,4 +162,42 @@
       }
     }
   }
+
+  // Pattern: many servers come at once, more than the reader tells. Without the
+  // control plane a peer is asked.
+  TEST_CASE("a VM that lacks changes reads them within half a bound") {
+    constexpr Time TellsAt = 3s;
+    for (std::size_t Rank : {1U, 5U, 40U, 99U}) {
+      CAPTURE(Rank);
+      ReaderDuty Duty(Bound);
+      auto KnownAt = [](Time Now) { return Now - 100ms; };
+      Duty.heard(100ms, TellsAt);
+      CHECK(!Duty.shouldRead(Rank, KnownAt(TellsAt), TellsAt));
+      Duty.complete(7, TellsAt);
+      Duty.told(20, TellsAt);
+      Time ReadAt{0};
+      Time AskedAt{0};
+      for (Time Now = TellsAt; Now < 7s; Now += Step) {
+        Duty.heard(100ms, Now); // The reader goes on telling.
+        if (ReadAt.count() == 0 && Duty.shouldRead(Rank, KnownAt(Now), Now))
+          ReadAt = Now;
+        if (AskedAt.count() == 0 && Duty.shouldAskPeer(Now))
+          AskedAt = Now;
+      }
+      CHECK(ReadAt - TellsAt >= TellPause); // What got lost is told again.
+      CHECK(ReadAt - TellsAt <= Bound / 2);
+      CHECK(AskedAt > ReadAt);
+      CHECK(AskedAt - TellsAt <= Bound * 3 / 4);
+      Duty.complete(12, 7s); // A part: the rest follows at once.
+      CHECK(Duty.lacks());
+      CHECK(Duty.shouldRead(Rank, KnownAt(7s), 7s));
+      CHECK(!Duty.shouldAskPeer(7s)); // The control plane answers.
+      Duty.complete(20, 7s);
+      CHECK(!Duty.lacks());
+      CHECK(!Duty.shouldRead(Rank, KnownAt(7s), 7s));
+      CHECK(!Duty.shouldAskPeer(7s));
+      Duty.told(19, 8s); // Late news.
+      CHECK(!Duty.lacks());
+    }
+  }
 }
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -123,8 +123,10 @@
   // Puts a configuration in force, unless one as new is in force already.
   void applyConfig(RoutingConfig Next, ConfigDocument Source);
   // The list of backend servers. The control plane writes to it, then calls
-  // listRead().
+  // listComplete() and listRead().
   ListingBook &list() { return m_List; }
+  // Records that the list was complete up to a revision of the control plane.
+  void listComplete(std::uint64_t Revision, Time KnownAt);
   // Puts the list in force, and tells the VMs of the region. Read is false when
   // the control plane gave no answer.
   void listRead(bool Read);
@@ -195,7 +197,7 @@
   void takeHeartbeat(const Json::Value &Params, const std::string &PeerIp);
   asio::awaitable<HttpResponse> servePeer(HttpRequest Request);
   asio::awaitable<void> fetchConfig(std::string Ip);
-  asio::awaitable<void> fetchList(std::string Ip, std::uint64_t Revision);
+  asio::awaitable<void> fetchList(std::string Ip);
   void takeListNews(const Json::Value &Params, const std::string &PeerIp);
   void applyListNews(const ListNews &News);
   void compareOperatorNews();
@@ -207,7 +209,9 @@
   void takeLoads(const Json::Value &Params);
   void applyList();
   std::vector<std::string> liveInRegion() const;
+  std::size_t regionSize() const;
   std::size_t ownReaderRank() const;
+  bool comesFromPeer(std::uint64_t ConfigBytes) const;
   // Returns the region of a VM; empty when it is not known.
   std::string_view regionOf(const MemberRow &Row) const;
   MemberReport ownReport();
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -14,12 +14,12 @@
 constexpr Duration HeartbeatPause = 500ms;
 constexpr Duration RelayedHeartbeatPause = 1s; // In fleets that relay them.
 constexpr Duration FetchTimeout = 1s;
-// Datagrams overtake each other, and a lost one is made up by the next news.
-constexpr Duration FetchPause = 500ms;
 constexpr std::size_t MaxRepeatedRows = 12; // One datagram.
 // A small configuration is fetched from a peer, which saves a call of the
-// store; a large one would fill the peer's link.
-constexpr std::uint64_t MaxPeerConfigBytes = 24U << 10U;
+// store.
+constexpr std::size_t MaxPeerConfigBytes = 24U << 10U;
+// A socket's buffer takes as much without loss.
+constexpr std::size_t MaxNewsBytes = 16U << 10U;
 // Rows passed on with a heartbeat. In fleets of up to eighty VMs each hears of
 // every other well within the time after which it would count as silent
 // (unit.members); larger ones would need more than small VMs can read.
@@ -124,7 +124,7 @@
     // first peer that has one.
     if (m_List.knownAt().count() == 0 && Report.m_Vm == PeerIp &&
         Report.m_DirectoryIndex > 0 && !m_FetchingList)
-      spawn(m_Io, fetchList(PeerIp, Report.m_DirectoryIndex));
+      spawn(m_Io, fetchList(PeerIp));
     const MemberRow *Known = m_Members.find(Report.m_Vm);
     if (Known == nullptr || regionOf(*Known) != m_Settings.m_Region)
       continue;
@@ -178,6 +178,15 @@
   return Found->second;
 }
 
+// VMs of the region, this one included, whether or not they live.
+std::size_t Node::regionSize() const {
+  const std::vector<MemberRow> &Rows = m_Members.rows();
+  return static_cast<std::size_t>(
+      std::count_if(Rows.begin(), Rows.end(), [&](const MemberRow &Row) {
+        return regionOf(Row) == m_Settings.m_Region;
+      }));
+}
+
 std::vector<std::string> Node::liveInRegion() const {
   std::vector<std::string> Live;
   for (const MemberRow &Row : m_Members.rows())
@@ -195,15 +204,25 @@
   return m_ListDuty.shouldRead(ownReaderRank(), m_List.knownAt(), now());
 }
 
+// Whether a configuration of this size is fetched from the peer that told of
+// it. All VMs of the region may do so at once.
+bool Node::comesFromPeer(std::uint64_t ConfigBytes) const {
+  return ConfigBytes <= std::min(MaxPeerConfigBytes, bytesToTell(regionSize()));
+}
+
 bool Node::shouldReadOperator() const {
   bool Behind = m_OperatorTold.m_OperatorRevision > m_OperatorComplete;
-  // A small configuration comes from the peer that told of it.
-  bool Waits = m_OperatorTold.m_ConfigBytes <= MaxPeerConfigBytes &&
+  bool Waits = comesFromPeer(m_OperatorTold.m_ConfigBytes) &&
                now() - m_OperatorToldAt < PeerConfigPause;
   return (Behind && !Waits) ||
          m_OperatorDuty.shouldRead(ownReaderRank(), m_OperatorKnownAt, now());
 }
 
+void Node::listComplete(std::uint64_t Revision, Time KnownAt) {
+  m_ListDuty.complete(Revision, now());
+  m_List.confirm(Revision, KnownAt);
+}
+
 void Node::listRead(bool Read) {
   m_ReadFailing = !Read;
   if (!Read)
@@ -260,7 +279,9 @@
   if (Rows.size() > MaxRepeatedRows)
     Rows = m_List.recent(Now - m_NewsSentAt, Now);
   m_NewsSentAt = Now;
-  std::vector<std::string> Texts = listNewsTexts(ownNews(std::move(Rows)), Now);
+  std::vector<std::string> Texts =
+      listNewsTexts(ownNews(std::move(Rows)),
+                    std::min(MaxNewsBytes, bytesToTell(regionSize())), Now);
   for (const MemberRow &Row : m_Members.rows()) {
     if (Row.m_Report.m_Vm == m_Settings.m_Ip ||
         Row.m_State == MemberState::Silent ||
@@ -335,10 +356,13 @@
   if (Before)
     m_OperatorDuty.heard(News.m_OperatorAge, now());
   if (News.m_ConfigRevision > revision() && !m_FetchingConfig &&
-      News.m_ConfigBytes <= MaxPeerConfigBytes)
+      comesFromPeer(News.m_ConfigBytes))
     spawn(m_Io, fetchConfig(PeerIp));
-  if (News.m_Revision > m_List.revision() && !News.m_More && !m_FetchingList)
-    spawn(m_Io, fetchList(PeerIp, News.m_Revision));
+  m_ListDuty.told(News.m_Revision, now());
+  if (m_ListDuty.shouldAskPeer(now()) && !m_FetchingList) {
+    m_ListDuty.asksPeer(now());
+    spawn(m_Io, fetchList(PeerIp));
+  }
 }
 
 // With the configuration and the evacuations that a peer has told of, nothing
@@ -360,7 +384,7 @@
       m_List.put(Row.m_Listing, Row.m_Revision, now());
   }
   if (News.m_Digest == m_List.digest())
-    m_List.confirm(News.m_Revision, now() - News.m_Age);
+    listComplete(News.m_Revision, now() - News.m_Age);
   if (m_List.changes() != m_ListApplied)
     applyList();
   if (News.m_OperatorRevision > m_EvacuatedRevision)
@@ -376,15 +400,9 @@
     m_OperatorKnownAt = std::max(m_OperatorKnownAt, now() - News.m_OperatorAge);
 }
 
-// Fetches the whole list, unless later news has told what was missing.
-asio::awaitable<void> Node::fetchList(std::string Ip, std::uint64_t Revision) {
+// Fetches the whole list.
+asio::awaitable<void> Node::fetchList(std::string Ip) {
   m_FetchingList = true;
-  if (m_List.knownAt().count() > 0)
-    co_await sleepFor(FetchPause);
-  if (m_List.revision() >= Revision) {
-    m_FetchingList = false;
-    co_return;
-  }
   HttpRequest Request;
   Request.m_Target = "/v1/list";
   HttpResult Got = co_await m_PeerClient.send(
