Pass on signs of life in fleets of over a hundred VMs

Cause: a heartbeat takes about 16 rows of members, fewer with whole reports. The reader sends no news to VMs that it takes for silent, and look-ups do not name them.

Change: beside one row, heartbeats of such fleets carry up to 100 signs of life of eight bytes: hash of the VM, start tag, sequence number, age, whether its entry runs. News that has been passed on least goes first, the own failure domain first to others. A VM that is only listed counts as live by a sign. A whole report is taken though signs have overtaken it; it is passed on with the number that it had.

Tests first failed: "a fleet takes next to none of its live VMs for silent" at 102, 300 and 360 VMs (the cases up to eighty stay as they were), "a report is taken though signs of life have overtaken it".

--- a/include/rhubarb/Members.h
+++ b/include/rhubarb/Members.h
@@ -41,6 +41,18 @@
   int m_RelayedSilence = 3;    // Times as long for VMs heard through others.
   int m_Fanout = 4;            // Heartbeats to members of the own domain.
   int m_RelayedRows = 4;       // Rows passed on with each heartbeat.
+  // Signs of life passed on with each heartbeat; 0: rows serve as such, too.
+  int m_RelayedSigns = 0;
+};
+
+// That a VM was alive, in a few bytes: in large fleets rows take too long to go
+// round.
+struct LifeSign {
+  std::uint32_t m_Vm = 0;     // Low bits of a hash of the VM's name.
+  std::uint8_t m_Boot = 0;    // Low bits of its start time.
+  std::uint16_t m_Number = 0; // Low bits of its heartbeat's sequence number.
+  bool m_EntryRuns = false;   // Its entry process runs.
+  Duration m_Age{0};          // Since that heartbeat.
 };
 
 // What a VM is good for, as far as is known.
@@ -56,6 +68,9 @@
   std::uint64_t m_WholeSequence = 0;   // Of the last whole report.
   std::uint64_t m_RelayedSequence = 0; // Of the last whole one passed on.
   std::uint64_t m_Relays = 0;          // Times that the row was passed on.
+  int m_TimesSigned = 0;      // Signs passed on since it was last heard of.
+  std::uint8_t m_BootTag = 0; // Low bits of the start time, as in signs.
+  bool m_SignedOnly = false;  // Known by signs of life, not by a report.
 };
 
 // A row to pass on and how old its news is.
@@ -68,8 +83,11 @@
 // excludes a VM from new work, and ends with the next heartbeat.
 class MemberTable {
 public:
-  // Sets how many rows are passed on with each heartbeat.
-  void setRelayedRows(int Rows) { m_Limits.m_RelayedRows = Rows; }
+  // Sets what is passed on with each heartbeat.
+  void setRelayed(int Rows, int Signs) {
+    m_Limits.m_RelayedRows = Rows;
+    m_Limits.m_RelayedSigns = Signs;
+  }
 
   struct Listing {
     std::string m_Vm;
@@ -83,6 +101,8 @@
   void setListing(const std::vector<Listing> &Rows, Time Now);
   // Takes in a report that is Age old. Returns false for old news.
   bool observe(const MemberReport &Report, Duration Age, Time Now);
+  // Takes in a sign of life. Returns false for old news and unknown VMs.
+  bool observe(const LifeSign &Sign, Time Now);
   // Sets this VM's own report.
   void setSelf(const MemberReport &Report, Time Now);
   // Recomputes states. Returns true when one has changed.
@@ -93,8 +113,12 @@
   std::vector<std::string> contacts(std::uint64_t Round) const;
   // The rows to pass on to Target next, those that have waited longest first:
   // what it does not hear directly. A row goes whole when it has changed, and
-  // every fourth time, for those who have not had it whole yet.
+  // every fourth time, for those who have not had it whole yet. Beside signs of
+  // life all rows go whole, changed ones first.
   std::vector<RelayedReport> rowsToRelay(const std::string &Target, Time Now);
+  // The signs of life to pass on to Target next, the news that has been passed
+  // on least first.
+  std::vector<LifeSign> signsToRelay(const std::string &Target, Time Now);
   // Whether this VM is one of the few of its domain that watch the store.
   bool watchesStore(int Watchers) const;
   // VMs of one domain that can own servers and take new work, sorted.
@@ -109,13 +133,19 @@
   MemberRow *findMutable(const std::string &Vm);
   Duration silenceLimit(const MemberRow &Row) const;
   bool hearsDirectly(const MemberRow &Target, const MemberRow &Row) const;
+  // Rows that Target does not hear of directly, with news worth passing on.
+  std::vector<MemberRow *> freshFor(const MemberRow *Target, Time Now);
+  // Returns the first few rows in order of what Key returns.
+  template <typename KeyOf>
+  static void keepFirst(std::vector<MemberRow *> &Rows, int Count, KeyOf Key);
   std::string speakerFor(const std::string &OtherDomain) const;
 
   std::string m_Self;
   std::string m_SelfDomain;
   MemberLimits m_Limits;
-  std::vector<MemberRow> m_Rows;                      // This VM first.
-  std::unordered_map<std::string, int> m_DomainSizes; // Of the list.
+  std::vector<MemberRow> m_Rows;                           // This VM first.
+  std::unordered_map<std::string, int> m_DomainSizes;      // Of the list.
+  std::unordered_map<std::uint32_t, std::size_t> m_ByHash; // Index of the row.
 };
 
 } // namespace rhubarb
--- a/include/rhubarb/Readers.h
+++ b/include/rhubarb/Readers.h
@@ -61,7 +61,7 @@
 
 private:
   Duration m_Bound;
-  Time m_HeardAt{0};    // Last news from a VM that goes before this one.
+  Time m_HeardAt{0}; // Last news from a VM that goes before this one.
   std::uint64_t m_Told = 0;
   std::uint64_t m_Complete = 0;
   Time m_LacksSince{0};   // Or since the last progress.
--- a/lib/Members.cpp
+++ b/lib/Members.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace rhubarb {
 namespace {
@@ -29,10 +30,12 @@
 
 constexpr std::uint64_t WholeEveryRelays = 4;
 
-bool isNewer(const MemberReport &A, const MemberReport &B) {
-  if (A.m_Boot != B.m_Boot)
-    return A.m_Boot > B.m_Boot;
-  return A.m_Sequence > B.m_Sequence;
+std::uint32_t shortHash(const std::string &Vm) {
+  return static_cast<std::uint32_t>(stableHash(Vm));
+}
+
+std::uint8_t shortBoot(std::uint64_t Boot) {
+  return static_cast<std::uint8_t>(stableHash("", Boot));
 }
 
 } // namespace
@@ -87,28 +90,66 @@
     return !Listed.contains(Row.m_Report.m_Vm);
   });
   m_DomainSizes.clear();
-  for (const MemberRow &Row : m_Rows)
-    ++m_DomainSizes[Row.m_Report.m_Domain];
+  m_ByHash.clear();
+  for (std::size_t I = 0; I < m_Rows.size(); ++I) {
+    ++m_DomainSizes[m_Rows[I].m_Report.m_Domain];
+    m_ByHash[shortHash(m_Rows[I].m_Report.m_Vm)] = I;
+  }
 }
 
 bool MemberTable::observe(const MemberReport &Report, Duration Age, Time Now) {
   MemberRow *Row = findMutable(Report.m_Vm);
   if (Row == nullptr || Report.m_Vm == m_Self ||
-      !isNewer(Report, Row->m_Report))
+      Report.m_Boot < Row->m_Report.m_Boot)
     return false;
+  bool Restarted = Report.m_Boot > Row->m_Report.m_Boot;
+  std::uint64_t Heard = Restarted ? 0 : Row->m_Report.m_Sequence;
   if (Report.m_Brief) {
     // It says nothing about a process of which no whole report is known.
-    if (Report.m_Boot != Row->m_Report.m_Boot)
+    if (Restarted || Report.m_Sequence <= Heard)
       return false;
     Row->m_Report.m_Sequence = Report.m_Sequence;
   } else {
+    // Signs of life may have overtaken it.
+    if (!Restarted && Report.m_Sequence <= Row->m_WholeSequence)
+      return false;
     std::string Known = std::move(Row->m_Report.m_Domain);
     Row->m_Report = Report;
     if (Row->m_Report.m_Domain.empty())
       Row->m_Report.m_Domain = std::move(Known);
     Row->m_WholeSequence = Report.m_Sequence;
+    Row->m_BootTag = shortBoot(Report.m_Boot);
+    Row->m_Report.m_Sequence = std::max(Heard, Report.m_Sequence);
+    Row->m_SignedOnly = false;
   }
   Row->m_LastHeard = std::max(Row->m_LastHeard, Now - Age);
+  Row->m_TimesSigned = 0;
+  return true;
+}
+
+bool MemberTable::observe(const LifeSign &Sign, Time Now) {
+  auto Found = m_ByHash.find(Sign.m_Vm);
+  if (Found == m_ByHash.end())
+    return false;
+  MemberRow &Row = m_Rows[Found->second];
+  MemberReport &Known = Row.m_Report;
+  if (Known.m_Vm == m_Self)
+    return false;
+  if (Known.m_Sequence == 0) { // Listed only: nothing can be older.
+    Row.m_SignedOnly = true;
+    Row.m_BootTag = Sign.m_Boot;
+    Known.m_Sequence = Sign.m_Number - 1U;
+  }
+  auto Ahead = static_cast<std::uint16_t>(
+      Sign.m_Number - static_cast<std::uint16_t>(Known.m_Sequence));
+  bool Older = Ahead == 0 || Ahead > UINT16_MAX / 2;
+  if (Older || Sign.m_Boot != Row.m_BootTag)
+    return false; // A process that is new makes itself known by a report.
+  Known.m_Sequence += Ahead;
+  if (Row.m_SignedOnly)
+    Known.m_EntryIncarnation = Sign.m_EntryRuns ? 1 : 0;
+  Row.m_LastHeard = std::max(Row.m_LastHeard, Now - Sign.m_Age);
+  Row.m_TimesSigned = 0;
   return true;
 }
 
@@ -191,43 +232,80 @@
   return Found != m_DomainSizes.end() && Found->second - 1 <= m_Limits.m_Fanout;
 }
 
-std::vector<RelayedReport> MemberTable::rowsToRelay(const std::string &Target,
-                                                    Time Now) {
-  const MemberRow *To = find(Target);
+std::vector<MemberRow *> MemberTable::freshFor(const MemberRow *Target,
+                                               Time Now) {
   std::vector<MemberRow *> Fresh;
   for (MemberRow &Row : m_Rows)
-    if (Row.m_Report.m_Vm != m_Self && Row.m_Report.m_Vm != Target &&
+    if (Row.m_Report.m_Vm != m_Self && &Row != Target &&
         Row.m_Report.m_Sequence > 0 &&
         Now - Row.m_LastHeard < silenceLimit(Row) &&
-        (To == nullptr || !hearsDirectly(*To, Row)))
+        (Target == nullptr || !hearsDirectly(*Target, Row)))
       Fresh.push_back(&Row);
-  auto Count = std::min<std::size_t>(
-      static_cast<std::size_t>(m_Limits.m_RelayedRows), Fresh.size());
+  return Fresh;
+}
+
+template <typename KeyOf>
+void MemberTable::keepFirst(std::vector<MemberRow *> &Rows, int Count,
+                            KeyOf Key) {
+  auto Kept =
+      std::min<std::size_t>(static_cast<std::size_t>(Count), Rows.size());
+  std::partial_sort(Rows.begin(),
+                    Rows.begin() + static_cast<std::ptrdiff_t>(Kept),
+                    Rows.end(), [&](const MemberRow *A, const MemberRow *B) {
+                      return Key(*A) < Key(*B);
+                    });
+  Rows.resize(Kept);
+}
+
+std::vector<RelayedReport> MemberTable::rowsToRelay(const std::string &Target,
+                                                    Time Now) {
+  const MemberRow *To = find(Target);
+  std::vector<MemberRow *> Fresh = freshFor(To, Now);
+  std::erase_if(Fresh, [](const MemberRow *Row) { return Row->m_SignedOnly; });
   // Another failure domain hears first of this one, which nobody else tells it.
   bool Outside = To != nullptr && To->m_Report.m_Domain != m_SelfDomain;
-  auto Foreign = [&](const MemberRow *Row) {
-    return Outside && Row->m_Report.m_Domain != m_SelfDomain;
-  };
-  std::partial_sort(Fresh.begin(),
-                    Fresh.begin() + static_cast<std::ptrdiff_t>(Count),
-                    Fresh.end(), [&](const MemberRow *A, const MemberRow *B) {
-                      return std::pair(Foreign(A), A->m_LastRelayed) <
-                             std::pair(Foreign(B), B->m_LastRelayed);
-                    });
+  bool Signs = m_Limits.m_RelayedSigns > 0;
+  keepFirst(Fresh, m_Limits.m_RelayedRows, [&](const MemberRow &Row) {
+    bool Foreign = Outside && Row.m_Report.m_Domain != m_SelfDomain;
+    bool Known = Signs && Row.m_RelayedSequence == Row.m_WholeSequence;
+    return std::tuple(Foreign, Known, Row.m_LastRelayed);
+  });
   std::vector<RelayedReport> Chosen;
-  for (std::size_t I = 0; I < Count; ++I) {
-    MemberRow &Row = *Fresh[I];
+  for (MemberRow *Each : Fresh) {
+    MemberRow &Row = *Each;
     Row.m_LastRelayed = Now;
     RelayedReport Passed{Row.m_Report, Now - Row.m_LastHeard};
     bool Unchanged = Row.m_RelayedSequence == Row.m_WholeSequence;
     Passed.m_Report.m_Brief =
-        Unchanged && ++Row.m_Relays % WholeEveryRelays != 0;
+        !Signs && Unchanged && ++Row.m_Relays % WholeEveryRelays != 0;
+    if (!Passed.m_Report.m_Brief) // What it says is as old as that.
+      Passed.m_Report.m_Sequence = Row.m_WholeSequence;
     Row.m_RelayedSequence = Row.m_WholeSequence;
     Chosen.push_back(std::move(Passed));
   }
   return Chosen;
 }
 
+std::vector<LifeSign> MemberTable::signsToRelay(const std::string &Target,
+                                                Time Now) {
+  const MemberRow *To = find(Target);
+  std::vector<MemberRow *> Fresh = freshFor(To, Now);
+  bool Outside = To != nullptr && To->m_Report.m_Domain != m_SelfDomain;
+  keepFirst(Fresh, m_Limits.m_RelayedSigns, [&](const MemberRow &Row) {
+    bool Foreign = Outside && Row.m_Report.m_Domain != m_SelfDomain;
+    return std::tuple(Foreign, Row.m_TimesSigned, -Row.m_LastHeard.count());
+  });
+  std::vector<LifeSign> Signs;
+  for (MemberRow *Row : Fresh) {
+    ++Row->m_TimesSigned;
+    const MemberReport &Report = Row->m_Report;
+    Signs.push_back({shortHash(Report.m_Vm), Row->m_BootTag,
+                     static_cast<std::uint16_t>(Report.m_Sequence),
+                     Report.m_EntryIncarnation != 0, Now - Row->m_LastHeard});
+  }
+  return Signs;
+}
+
 bool MemberTable::watchesStore(int Watchers) const {
   std::uint64_t Own = stableHash(m_Self);
   int Before = 0;
--- a/net/Messages.cpp
+++ b/net/Messages.cpp
@@ -1,7 +1,9 @@
 #include "net/Messages.h"
 
+#include "net/Crypto.h"
 #include "net/RpcClientCodec.h"
 
+#include <algorithm>
 #include <sstream>
 
 // Sections: JSON text, heartbeats, directory, snapshot, keys, grants,
@@ -86,6 +88,50 @@
   return Json;
 }
 
+// Signs of life as text: eight bytes each, in base64.
+constexpr std::size_t SignBytes = 8;
+constexpr Duration SignAgeUnit = 100ms;
+constexpr int MostSignAge = 127; // In units; the eighth bit tells of the entry.
+
+std::string signsText(const std::vector<LifeSign> &Signs) {
+  std::string Bytes;
+  for (const LifeSign &Sign : Signs) {
+    for (int Shift : {24, 16, 8, 0})
+      Bytes += static_cast<char>(Sign.m_Vm >> Shift);
+    Bytes += static_cast<char>(Sign.m_Boot);
+    Bytes += static_cast<char>(Sign.m_Number >> 8U);
+    Bytes += static_cast<char>(Sign.m_Number);
+    // Rounded up: passing a sign on must not make it younger.
+    auto Age = std::clamp<std::int64_t>(
+        (Sign.m_Age + SignAgeUnit - Duration(1)) / SignAgeUnit, 0, MostSignAge);
+    Bytes += static_cast<char>(Age | (Sign.m_EntryRuns ? 0x80 : 0));
+  }
+  return encodeBase64(Bytes);
+}
+
+std::vector<LifeSign> readSigns(const std::string &Text) {
+  Result<std::string> Bytes = decodeBase64(Text);
+  if (!Bytes || Bytes.value().size() % SignBytes != 0)
+    throw Json::RuntimeError("signs of life are not of eight bytes each");
+  auto ByteAt = [&](std::size_t I) {
+    return static_cast<std::uint32_t>(
+        static_cast<unsigned char>(Bytes.value()[I]));
+  };
+  std::vector<LifeSign> Signs;
+  for (std::size_t I = 0; I < Bytes.value().size(); I += SignBytes) {
+    LifeSign Sign;
+    for (std::size_t J = 0; J < 4; ++J)
+      Sign.m_Vm = Sign.m_Vm << 8U | ByteAt(I + J);
+    Sign.m_Boot = static_cast<std::uint8_t>(ByteAt(I + 4));
+    Sign.m_Number =
+        static_cast<std::uint16_t>(ByteAt(I + 5) << 8U | ByteAt(I + 6));
+    Sign.m_EntryRuns = (ByteAt(I + 7) & 0x80U) != 0;
+    Sign.m_Age = SignAgeUnit * static_cast<std::int64_t>(ByteAt(I + 7) & 0x7fU);
+    Signs.push_back(Sign);
+  }
+  return Signs;
+}
+
 RelayedReport readReport(const Value &Json) {
   requireArray(Json, 4);
   RelayedReport Row;
@@ -206,6 +252,8 @@
   Json.append(SchemaVersion);
   for (const RelayedReport &Row : Message.m_Rows)
     Json.append(reportArray(Row));
+  if (!Message.m_Signs.empty())
+    Json.append(signsText(Message.m_Signs));
   return Json;
 }
 
@@ -222,7 +270,10 @@
   requireArray(Json, 1);
   Heartbeat Message;
   for (ArrayIndex I = 1; I < Json.size(); ++I)
-    Message.m_Rows.push_back(readReport(Json[I]));
+    if (Json[I].isString())
+      Message.m_Signs = readSigns(Json[I].asString());
+    else
+      Message.m_Rows.push_back(readReport(Json[I]));
   return Message;
 }
 
--- a/test/ListingTest.cpp
+++ b/test/ListingTest.cpp
@@ -159,8 +159,7 @@
             {server("i-" + std::to_string(I)), 5, false, Time{0}});
       std::size_t Sent = 0;
       std::size_t Bytes = 0;
-      std::vector<std::string> Texts =
-          listNewsTexts(News, Case.m_MaxBytes, 1s);
+      std::vector<std::string> Texts = listNewsTexts(News, Case.m_MaxBytes, 1s);
       for (std::size_t I = 0; I < Texts.size(); ++I) {
         CHECK(Texts[I].size() <= MaxDatagramBytes);
         Bytes += Texts[I].size();
--- a/test/MembersTest.cpp
+++ b/test/MembersTest.cpp
@@ -76,11 +76,12 @@
 // Heartbeats of a whole fleet, one round a second. Returns how many live VMs a
 // VM takes for silent on average, after the first rounds.
 double meanTakenForSilent(int Domains, int VmsEach, int RelayedRows,
-                          int LossPercent) {
+                          int RelayedSigns, int LossPercent) {
   constexpr int FirstRounds = 15;
   constexpr int Rounds = 30;
   MemberLimits Limits;
   Limits.m_RelayedRows = RelayedRows;
+  Limits.m_RelayedSigns = RelayedSigns;
   std::vector<MemberTable> Tables;
   auto Rows = fleet(Domains, VmsEach);
   std::map<std::string, std::size_t> IndexOf;
@@ -101,12 +102,15 @@
       for (const std::string &To :
            Tables[I].contacts(static_cast<std::uint64_t>(Round))) {
         auto Passed = Tables[I].rowsToRelay(To, Now);
+        auto Signs = Tables[I].signsToRelay(To, Now);
         if (Loss.below(100) < static_cast<std::uint64_t>(LossPercent))
           continue;
         MemberTable &Target = Tables[IndexOf[To]];
         Target.observe(Own, Duration{0}, Now);
         for (const RelayedReport &Row : Passed)
           Target.observe(Row.m_Report, Row.m_Age, Now);
+        for (const LifeSign &Sign : Signs)
+          Target.observe(Sign, Now);
       }
     }
     for (MemberTable &Table : Tables) {
@@ -173,6 +177,75 @@
     CHECK(!Table.observe(Brief, Duration{0}, 13s));
   }
 
+  TEST_CASE("a sign of life counts for the process that it is of") {
+    struct Row {
+      const char *m_Name;
+      std::uint64_t
+          m_Whole; // Sequence number of a report heard before; 0: none.
+      std::uint64_t m_Boot; // Of the sign.
+      std::uint64_t m_Number;
+      bool m_Taken;
+    };
+    const Row Rows[] = {
+        {"newer", 7, 5, 8, true},
+        {"the same", 7, 5, 7, false},
+        {"older", 7, 5, 6, false},
+        {"the number has wrapped", 0x1fffe, 5, 0x20001, true},
+        {"older, before the wrap", 0x20001, 5, 0x1fffe, false},
+        {"another process", 7, 6, 8, false},
+        {"listed only", 0, 5, 8, true},
+    };
+    const std::string Vm = vmName(1, 1);
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      MemberTable Sender(vmName(1, 0), "d1", MemberLimits{});
+      MemberTable Table(vmName(0, 0), "d0", MemberLimits{});
+      for (MemberTable *Each : {&Sender, &Table})
+        Each->setListing(fleet(2, 2), 10s);
+      MemberReport Report = reportOf(Vm, Case.m_Boot, Case.m_Number);
+      Report.m_Domain = "d1";
+      Report.m_EntryIncarnation = 3;
+      Sender.observe(Report, Duration{0}, 20s);
+      Sender.setRelayed(1, 10);
+      std::vector<LifeSign> Signs = Sender.signsToRelay(vmName(0, 0), 20s);
+      REQUIRE(Signs.size() == 1);
+      if (Case.m_Whole > 0)
+        Table.observe(reportOf(Vm, 5, Case.m_Whole), Duration{0}, 18s);
+      CHECK(Table.observe(Signs[0], 20s) == Case.m_Taken);
+      const MemberRow *Known = Table.find(Vm);
+      CHECK(Known->m_LastHeard >= (Case.m_Taken ? 20s : 0s));
+      if (Case.m_Taken)
+        CHECK(Known->m_Report.m_Sequence >=
+              std::min<std::uint64_t>(Case.m_Number, UINT16_MAX));
+      Table.tick(20s);
+      CHECK(Known->m_State == MemberState::Live);
+      if (Case.m_Whole == 0) {
+        CHECK(Known->m_Report.m_EntryIncarnation != 0); // It can be named.
+        CHECK(Table.rowsToRelay(vmName(0, 1), 20s).empty());
+      }
+    }
+  }
+
+  TEST_CASE("a report is taken though signs of life have overtaken it") {
+    MemberTable Table(vmName(0, 0), "d0", MemberLimits{});
+    Table.setListing(fleet(2, 2), 10s);
+    const std::string Vm = vmName(1, 1);
+    Table.observe(reportOf(Vm, 5, 7), Duration{0}, 10s);
+    MemberReport Brief = reportOf(Vm, 5, 9);
+    Brief.m_Brief = true;
+    CHECK(Table.observe(Brief, Duration{0}, 12s));
+    MemberReport Leaving = reportOf(Vm, 5, 8);
+    Leaving.m_Leaving = true;
+    CHECK(Table.observe(Leaving, 1s, 12s));
+    CHECK(Table.find(Vm)->m_Report.m_Leaving);
+    CHECK(Table.find(Vm)->m_Report.m_Sequence == 9);
+    CHECK(Table.find(Vm)->m_LastHeard == 12s);
+    CHECK(!Table.observe(reportOf(Vm, 5, 7), Duration{0}, 12s));
+    Table.setRelayed(4, 0);
+    for (const RelayedReport &Row : Table.rowsToRelay(vmName(0, 1), 12s))
+      CHECK(Row.m_Report.m_Sequence == 8); // What it tells is as old as that.
+  }
+
   TEST_CASE("rows are passed on to those who do not hear them directly") {
     auto Rows = fleet(2, 2);
     MemberTable Table(vmName(0, 0), "d0", MemberLimits{});
@@ -279,19 +352,24 @@
       }
   }
 
-  TEST_CASE("a fleet of up to eighty VMs takes next to none for silent") {
+  TEST_CASE("a fleet takes next to none of its live VMs for silent") {
     struct Row {
       int m_Domains;
       int m_VmsEach;
+      int m_Rows;
+      int m_Signs;
       int m_LossPercent;
     };
     for (const Row &Case :
-         {Row{6, 10, 0}, Row{9, 8, 0}, Row{9, 8, 5}, Row{8, 10, 0}}) {
+         {Row{6, 10, 16, 0, 0}, Row{9, 8, 16, 0, 0}, Row{9, 8, 16, 0, 5},
+          Row{8, 10, 16, 0, 0}, Row{6, 17, 1, 100, 0}, Row{6, 50, 1, 100, 0},
+          Row{6, 50, 1, 100, 5}, Row{9, 40, 1, 100, 5}}) {
       CAPTURE(Case.m_Domains);
       CAPTURE(Case.m_VmsEach);
       CAPTURE(Case.m_LossPercent);
-      double Mean = meanTakenForSilent(Case.m_Domains, Case.m_VmsEach, 16,
-                                       Case.m_LossPercent);
+      double Mean =
+          meanTakenForSilent(Case.m_Domains, Case.m_VmsEach, Case.m_Rows,
+                             Case.m_Signs, Case.m_LossPercent);
       MESSAGE("taken for silent, of " << Case.m_Domains * Case.m_VmsEach << ": "
                                       << Mean);
       // One of a hundred at most.
--- a/test/NetTest.cpp
+++ b/test/NetTest.cpp
@@ -33,7 +33,8 @@
   Report.m_Adopted = {"7f000001-1f90-2a"};
   MemberReport Brief = Report;
   Brief.m_Brief = true;
-  return {{{Report, 150ms}, {Brief, 0ms}}};
+  return {{{Report, 150ms}, {Brief, 0ms}},
+          {{0xfedcba98, 0xff, 0xfffe, true, 300ms}, {1, 0, 2, false, 0ms}}};
 }
 
 Snapshot sampleSnapshot() {
@@ -141,6 +142,16 @@
 
 TEST_SUITE("messages") {
   TEST_CASE("each message survives its JSON form") {
+    Heartbeat Full = sampleHeartbeat();
+    Full.m_Rows.resize(1); // The own report is never left out.
+    Full.m_Signs.resize(MaxSigns, {0xffffffff, 0xff, 0xffff, true, 12s});
+    std::string FullText = heartbeatText(Full);
+    CHECK(FullText.size() <= MaxDatagramBytes);
+    Heartbeat FullRead = readHeartbeat(parseJson(FullText).value()["params"]);
+    CHECK(FullRead.m_Rows.size() == 1);
+    CHECK(FullRead.m_Signs.size() == MaxSigns);
+    CHECK_THROWS_AS(readHeartbeat(parseJson("[1,\"AAAA\"]").value()),
+                    Json::Exception);
     CHECK(compactJson(toJson(readHeartbeat(toJson(sampleHeartbeat())))) ==
           compactJson(toJson(sampleHeartbeat())));
     CHECK(compactJson(toJson(readSnapshot(toJson(sampleSnapshot())))) ==
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -25,7 +25,8 @@
 // (unit.members); larger ones would need more than small VMs can read.
 constexpr std::size_t WellKnownFleet = 100;
 constexpr int RelayedRows = 16;
-constexpr int RelayedRowsOfLargeFleets = 4;
+// Signs of life fill a datagram as well.
+constexpr int RelayedRowsOfLargeFleets = 1;
 constexpr Duration PeerConfigPause = 500ms;
 // With more VMs, heartbeats go to some and are relayed by them.
 constexpr std::size_t MaxDirectPeers = 16;
@@ -97,19 +98,23 @@
       m_Datagrams.send(Vm, m_Settings.m_PeerPort, Text);
     return;
   }
-  m_Members.setRelayedRows(m_KnownVms.size() <= WellKnownFleet
-                               ? RelayedRows
-                               : RelayedRowsOfLargeFleets);
+  if (m_KnownVms.size() <= WellKnownFleet)
+    m_Members.setRelayed(RelayedRows, 0);
+  else
+    m_Members.setRelayed(RelayedRowsOfLargeFleets, MaxSigns);
   for (const std::string &Vm : m_Members.contacts(m_Sequence)) {
     Message.m_Rows.resize(1);
     for (RelayedReport &Row : m_Members.rowsToRelay(Vm, now()))
       Message.m_Rows.push_back(std::move(Row));
+    Message.m_Signs = m_Members.signsToRelay(Vm, now());
     m_Datagrams.send(Vm, m_Settings.m_PeerPort, heartbeatText(Message));
   }
 }
 
 void Node::takeHeartbeat(const Json::Value &Params, const std::string &PeerIp) {
   Heartbeat Message = readHeartbeat(Params);
+  for (const LifeSign &Sign : Message.m_Signs)
+    m_Members.observe(Sign, now());
   for (const RelayedReport &Row : Message.m_Rows) {
     const MemberReport &Report = Row.m_Report;
     if (Report.m_Vm == m_Settings.m_Ip)
