Do not leave a full server alone for longer and longer

After a power cut of all processes every object runs cold, and the servers of the poorest region are full.

Change: the answer to a health request is healthy, full (refused for want of room: the server lives), late (connection taken, no answer: again after half a second, never less often) or bad. The log line names it.

Test first failed: "a full server is not left alone for longer and longer".

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -66,6 +66,15 @@
   Duration m_ConnectTook{0}; // Of a new connection; 0: an old one was used.
 };
 
+// How a health request ended. It waits for a slot like any other request.
+enum class HealthAnswer : std::uint8_t {
+  Healthy,
+  Full, // The server is alive, and refused it for want of room.
+  Late, // The server took the connection and did not answer in time.
+  Bad,  // Not reached, or another answer.
+};
+std::string_view healthAnswerName(HealthAnswer Value);
+
 // When a shared server is left alone, and for how long.
 struct FleetLimits {
   // A server that fails this share of its recent requests gets trials only.
@@ -158,7 +167,8 @@
   // processes, which send there too, should know.
   std::map<ServerIndex, HighLoad> takeHighLoads();
   // Takes the answer to a health request.
-  void probed(ServerIndex Index, bool Healthy, Duration ColdLeft, Time Now);
+  void probed(ServerIndex Index, HealthAnswer Answer, Duration ColdLeft,
+              Time Now);
 
   // Whether and why a server is left out.
   LeftOut leftOut(const BackendRow &Row, Time Now) const;
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -45,6 +45,12 @@
   return OutcomeNames[static_cast<std::size_t>(Value)];
 }
 
+std::string_view healthAnswerName(HealthAnswer Value) {
+  static constexpr std::array<std::string_view, 4> Names{"healthy", "full",
+                                                         "late", "bad"};
+  return Names[static_cast<std::size_t>(Value)];
+}
+
 std::string_view leftOutName(LeftOut Value) {
   return LeftOutNames[static_cast<std::size_t>(Value)];
 }
@@ -246,16 +252,22 @@
   Row.m_Failing += (Failure - Row.m_Failing) / m_Limits.m_FailureMemory;
 }
 
-void Fleet::probed(ServerIndex Index, bool Healthy, Duration ColdLeft,
+// Answers the pattern in which overload makes servers answer late: left alone
+// for longer and longer, healthy ones would be missing where they are needed.
+void Fleet::probed(ServerIndex Index, HealthAnswer Answer, Duration ColdLeft,
                    Time Now) {
   BackendRow &Row = mutableRow(Index);
-  if (!Healthy) {
-    Row.m_LeftAloneUntil = Time{0};
+  Row.m_LeftAloneUntil = Time{0};
+  if (Answer == HealthAnswer::Bad) {
+    leaveAlone(Row, Now);
+    return;
+  }
+  if (Answer == HealthAnswer::Late) {
+    Row.m_LeftAlone = Duration{0};
     leaveAlone(Row, Now);
     return;
   }
   Row.m_LastHeard = Now;
-  Row.m_LeftAloneUntil = Time{0};
   Row.m_LeftAlone = Duration{0};
   Row.m_MustProbe = false;
   if (ColdLeft.count() > 0)
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -141,14 +141,45 @@
     Servers.finished(0, report(AttemptOutcome::Unreachable), 10s, 10s);
     CHECK(Servers.toProbe(10s + 100ms).empty());
     CHECK(Servers.toProbe(11s).size() == 1);
-    Servers.probed(0, false, Duration{0}, 11s);
+    Servers.probed(0, HealthAnswer::Bad, Duration{0}, 11s);
     CHECK(Servers.leftOut(Servers.row(0), 60s) == LeftOut::Unreachable);
-    Servers.probed(0, true, 2s, 60s);
+    Servers.probed(0, HealthAnswer::Healthy, 2s, 60s);
     CHECK(Servers.leftOut(Servers.row(0), 60s) == LeftOut::No);
     CHECK(Servers.isCold(Servers.row(0), 61s));
     CHECK_FALSE(Servers.isCold(Servers.row(0), 62s));
   }
 
+  // Pattern: a server is full, so health requests wait or are refused.
+  TEST_CASE("a full server is not left alone for longer and longer") {
+    struct Row {
+      HealthAnswer m_Answer;
+      LeftOut m_Expected; // After three such answers.
+      Duration m_Within;  // The next health request goes out by then.
+    };
+    const Row Rows[] = {
+        {HealthAnswer::Healthy, LeftOut::No, 0s},
+        {HealthAnswer::Full, LeftOut::No, 0s},
+        {HealthAnswer::Late, LeftOut::Unreachable, 500ms},
+        {HealthAnswer::Bad, LeftOut::Unreachable, 4s},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(healthAnswerName(Case.m_Answer));
+      Fleet Servers;
+      Servers.update({server("a")}, 1s);
+      Servers.started(0, 100ms, 10s);
+      Servers.finished(0, report(AttemptOutcome::Unreachable), 10s, 10s);
+      Time Now = 10s;
+      for (int I = 0; I < 3; ++I)
+        Servers.probed(0, Case.m_Answer, Duration{0}, Now += 5s);
+      CHECK(leftOutName(Servers.leftOut(Servers.row(0), Now)) ==
+            leftOutName(Case.m_Expected));
+      if (Case.m_Expected != LeftOut::No) {
+        CHECK(Servers.toProbe(Now).empty());
+        CHECK(Servers.toProbe(Now + Case.m_Within).size() == 1);
+      }
+    }
+  }
+
   TEST_CASE("of two reports of a server's load the later one holds") {
     struct Row {
       const char *m_Name;
--- a/test/SharedFleetModel.cpp
+++ b/test/SharedFleetModel.cpp
@@ -404,7 +404,10 @@
         drawTogether(E);
         for (ServerIndex Index : m_Entries[E].fleet().toProbe(m_Now))
           m_Entries[E].fleet().probed(
-              Index, !m_Servers[static_cast<std::size_t>(Index)].m_Silent,
+              Index,
+              m_Servers[static_cast<std::size_t>(Index)].m_Silent
+                  ? HealthAnswer::Bad
+                  : HealthAnswer::Healthy,
               Duration{0}, m_Now);
       }
       pump(static_cast<int>(E));
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -317,6 +317,20 @@
   }
 }
 
+HealthAnswer Node::healthAnswer(const HttpResult &Got,
+                                const BackendListing &Server) const {
+  if (Got.m_Failure == HttpFailure::Timeout)
+    return HealthAnswer::Late;
+  if (Got.m_Failure != HttpFailure::None ||
+      Got.m_Response.header(m_Names.m_ServerId) != Server.m_Id)
+    return HealthAnswer::Bad;
+  if (Got.m_Response.m_Status == 200)
+    return HealthAnswer::Healthy;
+  bool Full = Got.m_Response.m_Status == 503 &&
+              !Got.m_Response.header(m_Names.m_NotRun).empty();
+  return Full ? HealthAnswer::Full : HealthAnswer::Bad;
+}
+
 asio::awaitable<void> Node::probe(ServerIndex Index) {
   const BackendListing Server = m_Dispatcher.fleet().row(Index).m_Listing;
   const auto &Pools = m_Routes.config().m_Pools;
@@ -328,19 +342,17 @@
   m_Probing.erase(Index);
   if (m_Dispatcher.fleet().row(Index).m_Listing.m_Id != Server.m_Id)
     co_return;
-  bool Healthy = Got.m_Failure == HttpFailure::None &&
-                 Got.m_Response.m_Status == 200 &&
-                 Got.m_Response.header(m_Names.m_ServerId) == Server.m_Id;
+  HealthAnswer Answer = healthAnswer(Got, Server);
   std::int64_t ColdMillis =
       readNumber(Got.m_Response.header(m_Names.m_ColdMillis), 0);
   m_Metrics.count("rhubarb_health_requests_total",
-                  {{"result", Healthy ? "healthy" : "not_healthy"}});
+                  {{"result", std::string(healthAnswerName(Answer))}});
   logEvent(Severity::Info, "health",
            {{"server", Server.m_Id},
-            {"healthy", Healthy ? "yes" : "no"},
+            {"answer", std::string(healthAnswerName(Answer))},
             {"failure", std::string(httpFailureName(Got.m_Failure))},
             {"status", std::to_string(Got.m_Response.m_Status)}});
-  m_Dispatcher.fleet().probed(Index, Healthy,
+  m_Dispatcher.fleet().probed(Index, Answer,
                               std::chrono::milliseconds(ColdMillis), now());
 }
 
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -177,6 +177,8 @@
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> probeLoop();
   asio::awaitable<void> probe(ServerIndex Index);
+  HealthAnswer healthAnswer(const HttpResult &Got,
+                            const BackendListing &Server) const;
   double coldPace(const BackendListing &Server) const;
   RetryBudget &budget(int Pool);
   // Logs what is believed of servers and VMs where it has changed.
