--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -63,6 +63,8 @@
   Duration m_Expected{0}; // What it should have taken; 0: not known.
   bool m_HasLoad = false;
   ReportedLoad m_Load;
+  bool m_Leaving = false;     // The server says that it leaves.
+  Duration m_LeaveAloneFor{0}; // The server wants nothing for so long.
   Duration m_ConnectTook{0}; // Of a new connection; 0: an old one was used.
 };
 
@@ -115,6 +117,8 @@
   double m_Failing = 0;  // Share of recent requests that failed.
   Time m_LastHeard{0};
   Time m_LastTrial{0};
+  Time m_PausedUntil{0};     // Its own wish.
+  bool m_SaidLeaving = false; // In an answer; holds until another start.
   Time m_LeftAloneUntil{0};
   Duration m_LeftAlone{0};
   bool m_MustProbe = false; // Was out of reach: a health answer comes first.
@@ -136,6 +140,7 @@
   NotListed,
   Leaving,
   Evacuated,
+  Paused, // It has asked this process to wait.
   Unreachable,
   Stalled,
   Failing,
@@ -161,6 +166,10 @@
   void started(ServerIndex Index, Duration Expected, Time Now);
   void finished(ServerIndex Index, const AttemptReport &Report, Time StartedAt,
                 Time Now);
+  // Takes what a server says of itself in an answer, to a request or a health
+  // request: that it leaves, or wants nothing from this process for a while.
+  void heardWish(ServerIndex Index, bool Leaving, Duration LeaveAloneFor,
+                 Time Now);
   // Takes the load of a server as a process was told it at that moment.
   void heardLoad(ServerIndex Index, int Total, Time At);
   // Returns the high loads that servers have told since the last call: other
@@ -187,6 +196,9 @@
   const BackendRow &row(ServerIndex Index) const {
     return m_Rows[static_cast<std::size_t>(Index)];
   }
+  // Returns when the first paused server of a pool takes work again; 0 when none
+  // is paused.
+  Duration soonestReturn(int Pool, Time Now) const;
   ServerIndex find(const std::string &Id) const;
   std::size_t size() const { return m_ById.size(); }
   // Grows with each change of what is listed.
--- a/include/rhubarb/Listing.h
+++ b/include/rhubarb/Listing.h
@@ -16,6 +16,7 @@
   std::uint64_t m_Revision = 0; // Of the control plane, when it was written.
   bool m_Removed = false;
   Time m_ChangedAt{0};
+  std::uint64_t m_Change = 0; // Number of its last change in this book.
 };
 
 // Entries by id. Of two writes of an entry the one with the higher revision
@@ -43,6 +44,8 @@
   std::vector<BackendListing> entries() const;
   // Changes of the last While, removed entries included.
   std::vector<ListedRow> recent(Duration While, Time Now) const;
+  // Changes with higher numbers than this one, the earliest first.
+  std::vector<ListedRow> changedAfter(std::uint64_t Change) const;
   std::vector<ListedRow> all() const;
 
 private:
--- a/include/rhubarb/Readers.h
+++ b/include/rhubarb/Readers.h
@@ -7,6 +7,7 @@
 #include "rhubarb/Types.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace rhubarb {
@@ -27,12 +28,24 @@
 // on, they would fill the reader's link and hold up all other news.
 std::size_t bytesToTell(std::size_t Vms);
 
+// Why a VM reads the control plane itself.
+enum class ReadReason : std::uint8_t {
+  None,
+  Reader, // It is its region's reader.
+  Behind, // News told of changes that this VM did not get.
+  TooOld, // No news comes, or what is known has grown old.
+};
+std::string_view readReasonName(ReadReason Value);
+
 // Whether this VM reads one kind of news itself. All times derive from the
 // bound within which a change must be known on every VM.
 class ReaderDuty {
 public:
   explicit ReaderDuty(Duration Bound) : m_Bound(Bound) {}
   void setBound(Duration Bound) { m_Bound = Bound; }
+  // Records the start of the process: what it has read then is new, and for a
+  // moment it cannot know which VMs go before it.
+  void started(Time Now) { m_StartedAt = Now; }
 
   // Takes news of a VM that goes before this one; it was complete Age ago. Such
   // a VM reads even if this one does not know yet that it lives.
@@ -50,7 +63,10 @@
   // Records that a peer is asked; the next one no sooner than after a pause.
   void asksPeer(Time Now) { m_LacksSince = Now; }
   // KnownAt: what this VM knows was complete then; 0: it knows nothing.
-  bool shouldRead(std::size_t OwnRank, Time KnownAt, Time Now) const;
+  ReadReason reasonToRead(std::size_t OwnRank, Time KnownAt, Time Now) const;
+  bool shouldRead(std::size_t OwnRank, Time KnownAt, Time Now) const {
+    return reasonToRead(OwnRank, KnownAt, Now) != ReadReason::None;
+  }
   // Returns the age from which news tells nothing of its sender.
   Duration tooOld() const;
   // Returns how long a watch waits, so that answers come at a steady pace: a
@@ -61,6 +77,7 @@
 
 private:
   Duration m_Bound;
+  Time m_StartedAt{0};
   Time m_HeardAt{0}; // Last news from a VM that goes before this one.
   std::uint64_t m_Told = 0;
   std::uint64_t m_Complete = 0;
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -305,7 +305,8 @@
   Placement Placed;
   Placed.m_Kind = PlaceKind::Refuse;
   Placed.m_Error = Kind;
-  Duration Wait = predictedWait(Request, Ranked, Now);
+  Duration Wait = Ranked.empty() ? m_Fleet.soonestReturn(Request.m_Pool, Now)
+                                 : predictedWait(Request, Ranked, Now);
   Placed.m_PredictedWait = Wait;
   if (!Ranked.empty()) {
     Placed.m_Considered = Ranked.front().m_Server;
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -8,9 +8,9 @@
 namespace rhubarb {
 namespace {
 
-constexpr std::array<std::string_view, 7> LeftOutNames{
-    "no",          "not_listed", "leaving", "evacuated",
-    "unreachable", "stalled",    "failing"};
+constexpr std::array<std::string_view, 8> LeftOutNames{
+    "no",     "not_listed",  "leaving", "evacuated",
+    "paused", "unreachable", "stalled", "failing"};
 
 constexpr std::array<std::string_view, 8> OutcomeNames{
     "served", "failed",      "refused", "misdirected",
@@ -18,6 +18,8 @@
 
 constexpr double SlownessWeight = 0.15; // Of one measurement.
 constexpr double MaxSlowness = 20;
+// A server that asks for more is asked again after this time.
+constexpr Duration MostPause = 60s;
 // VMs that send to one cold server, and the part of what it tolerates that they
 // use: a VM that knows others than they do may send beside them.
 constexpr std::size_t ColdSenders = 2;
@@ -172,6 +174,15 @@
   Row.m_LoadAt = At;
 }
 
+void Fleet::heardWish(ServerIndex Index, bool Leaving, Duration LeaveAloneFor,
+                      Time Now) {
+  BackendRow &Row = mutableRow(Index);
+  Row.m_SaidLeaving = Row.m_SaidLeaving || Leaving;
+  if (LeaveAloneFor.count() > 0)
+    Row.m_PausedUntil = std::max(
+        Row.m_PausedUntil, Now + std::min<Duration>(LeaveAloneFor, MostPause));
+}
+
 std::map<ServerIndex, HighLoad> Fleet::takeHighLoads() {
   return std::exchange(m_HighLoads, {});
 }
@@ -209,6 +220,7 @@
     else
       m_HighLoads.erase(Index);
   }
+  heardWish(Index, Report.m_Leaving, Report.m_LeaveAloneFor, Now);
   double Failure = 0;
   switch (Report.m_Outcome) {
   case AttemptOutcome::Abandoned:
@@ -290,10 +302,12 @@
 LeftOut Fleet::leftOut(const BackendRow &Row, Time Now) const {
   if (!Row.m_Listed)
     return LeftOut::NotListed;
-  if (Row.m_Listing.m_Leaving)
+  if (Row.m_Listing.m_Leaving || Row.m_SaidLeaving)
     return LeftOut::Leaving;
   if (Row.m_Evacuated)
     return LeftOut::Evacuated;
+  if (Now < Row.m_PausedUntil)
+    return LeftOut::Paused;
   if (Row.m_MustProbe)
     return LeftOut::Unreachable;
   if (isStalled(Row, Now))
@@ -321,6 +335,18 @@
   return Found;
 }
 
+Duration Fleet::soonestReturn(int Pool, Time Now) const {
+  Duration Soonest{0};
+  for (ServerIndex Index : ofPool(Pool)) {
+    const BackendRow &Row = row(Index);
+    if (leftOut(Row, Now) != LeftOut::Paused)
+      continue;
+    Duration Left = Row.m_PausedUntil - Now;
+    Soonest = Soonest.count() == 0 ? Left : std::min(Soonest, Left);
+  }
+  return Soonest;
+}
+
 const std::vector<ServerIndex> &Fleet::ofPool(int Pool) const {
   static const std::vector<ServerIndex> None;
   auto Index = static_cast<std::size_t>(Pool);
--- a/lib/Listing.cpp
+++ b/lib/Listing.cpp
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr Duration RemovedKept = 30s; // Longer than news can be late.
+// What a server says of its time to be cold, less the time that passed, varies
+// by the way of its report.
+constexpr Duration ColdJitter = 250ms;
 
 // Hash of what matters of an entry. The time that it stays cold passes by
 // itself and is left out.
@@ -28,7 +31,7 @@
   ListedRow &Known = m_Rows[Row.m_Listing.m_Id];
   bool Absent = Known.m_Revision == 0;
   m_Digest ^= (Absent ? 0 : rowHash(Known)) ^ rowHash(Row);
-  ++m_Changes;
+  Row.m_Change = ++m_Changes;
   Known = std::move(Row);
 }
 
@@ -41,7 +44,7 @@
     if (Known.m_Revision >= Revision)
       return false;
     if (rowHash(Known) == rowHash(Row) &&
-        Listing.m_ColdUntil <= Known.m_Listing.m_ColdUntil) {
+        Listing.m_ColdUntil <= Known.m_Listing.m_ColdUntil + ColdJitter) {
       Known.m_Revision = Revision;
       return false;
     }
@@ -113,6 +116,19 @@
   return Changed;
 }
 
+std::vector<ListedRow>
+ListingBook::changedAfter(std::uint64_t Change) const {
+  std::vector<ListedRow> Changed;
+  for (const auto &[Id, Row] : m_Rows)
+    if (Row.m_Change > Change)
+      Changed.push_back(Row);
+  std::sort(Changed.begin(), Changed.end(),
+            [](const ListedRow &A, const ListedRow &B) {
+              return A.m_Change < B.m_Change;
+            });
+  return Changed;
+}
+
 std::vector<ListedRow> ListingBook::all() const {
   std::vector<ListedRow> Rows;
   for (const auto &[Id, Row] : m_Rows)
--- a/lib/Readers.cpp
+++ b/lib/Readers.cpp
@@ -1,6 +1,7 @@
 #include "rhubarb/Readers.h"
 
 #include <algorithm>
+#include <array>
 
 namespace rhubarb {
 namespace {
@@ -13,6 +14,8 @@
 constexpr double LeastWatchShare = 0.2;
 constexpr double PauseShare = 0.15;
 constexpr double StepInShare = 0.5;
+// After a start, until others have made themselves known.
+constexpr double SettleShare = 0.25;
 // Between one VM that steps in and the next: longer than a read takes.
 constexpr Duration StepInPause = 150ms;
 // News is repeated within this time: a lost datagram costs no read.
@@ -30,6 +33,12 @@
 
 } // namespace
 
+std::string_view readReasonName(ReadReason Value) {
+  static constexpr std::array<std::string_view, 4> Names{"none", "reader",
+                                                         "behind", "too_old"};
+  return Names[static_cast<std::size_t>(Value)];
+}
+
 bool readsBefore(const std::string &First, const std::string &Second) {
   static const std::uint64_t Seed = stableHash(ReaderKey);
   return stableHash(First, Seed) > stableHash(Second, Seed);
@@ -72,17 +81,21 @@
   return lacks() && Now - m_LacksSince >= 2 * CatchUpPause;
 }
 
-bool ReaderDuty::shouldRead(std::size_t OwnRank, Time KnownAt, Time Now) const {
+ReadReason ReaderDuty::reasonToRead(std::size_t OwnRank, Time KnownAt,
+                                    Time Now) const {
   Duration CatchUp = CatchUpPause + CatchUpSlot * static_cast<std::int64_t>(
                                                       OwnRank % CatchUpSlots);
   if (lacks() && (m_ReadsOn || Now - m_LacksSince >= CatchUp))
-    return true;
+    return ReadReason::Behind;
   bool Heard = m_HeardAt.count() > 0;
-  if (OwnRank == 0 && (!Heard || Now - m_HeardAt >= tooOld()))
-    return true;
+  bool Settled = Now - m_StartedAt >= scaled(m_Bound, SettleShare);
+  if (OwnRank == 0 && Settled && (!Heard || Now - m_HeardAt >= tooOld()))
+    return ReadReason::Reader;
   auto Place = std::min(std::max<std::size_t>(OwnRank, 1), MaxReaders) - 1;
   Duration After = tooOld() + StepInPause * static_cast<std::int64_t>(Place);
-  return (Heard && Now - m_HeardAt >= After) || Now - KnownAt >= After;
+  if ((Heard && Now - m_HeardAt >= After) || Now - KnownAt >= After)
+    return ReadReason::TooOld;
+  return ReadReason::None;
 }
 
 Duration ReaderDuty::tooOld() const { return scaled(m_Bound, StepInShare); }
--- a/net/HttpBody.h
+++ b/net/HttpBody.h
@@ -21,6 +21,9 @@
 
 inline constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 inline constexpr std::size_t BodyPieceBytes = 16U << 10U; // Of one read.
+// Bytes that have arrived and make no whole part of a message, such as an
+// endless chunk extension, end the connection beyond this.
+inline constexpr std::size_t MaxUnreadBytes = 128U << 10U;
 
 // Returns the fields of a message in their order.
 template <class Fields>
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -24,6 +24,9 @@
 constexpr Duration KeepAliveMargin = 1s;
 // Responses to earlier requests that are skipped while one's own is awaited.
 constexpr int MaxSkipped = 4;
+// Interim responses, such as 100 Continue, before the answer. They may all be
+// in the buffer already, where no time-out would end their reading.
+constexpr int MaxInterim = 8;
 
 HttpFailure failureOf(const boost::system::error_code &Error) {
   if (Error == beast::error::timeout)
@@ -92,7 +95,7 @@
 struct HttpClient::Connection {
   explicit Connection(asio::io_context &Io) : m_Stream(Io) {}
   beast::tcp_stream m_Stream;
-  beast::flat_buffer m_Buffer;
+  beast::flat_buffer m_Buffer{MaxUnreadBytes};
   Time m_Since{0};
   Duration m_KeptFor{0};
 };
@@ -337,6 +340,7 @@
   HttpResult &Result = Work->m_Result;
   beast::tcp_stream &Stream = Work->m_Connection->m_Stream;
   beast::flat_buffer &Buffer = Work->m_Connection->m_Buffer;
+  int Interim = 0;
   for (;;) {
     ResponseParser &Parser = Work->m_Parser.emplace();
     Parser.body_limit(m_Limits.m_MaxBodyBytes);
@@ -350,8 +354,12 @@
     Result.m_Response = HttpResponse{};
     Result.m_Response.m_Status = static_cast<int>(Parser.get().result_int());
     Result.m_Response.m_Headers = copyFields(Parser.get());
-    if (Result.m_Response.m_Status < 200)
-      continue; // Such as 100 Continue.
+    if (Result.m_Response.m_Status < 200) {
+      if (++Interim <= MaxInterim)
+        continue;
+      Result.m_Failure = HttpFailure::Malformed;
+      co_return false;
+    }
     if (!Work->m_Options.m_Matches ||
         Work->m_Options.m_Matches(Result.m_Response))
       co_return true;
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -47,6 +47,15 @@
 // Watches for the end of a connection while its request is handled. A request
 // that follows early is left for the next read. Owner keeps the socket until
 // the watch has ended.
+// Notes in the watch that the caller has closed its connection.
+void lookForClose(tcp::socket &Socket, CallerWatch &Watch) {
+  boost::system::error_code Error;
+  char Byte = 0;
+  Socket.non_blocking(true, Error);
+  Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Error);
+  Watch.m_Gone = Error && Error != asio::error::would_block;
+}
+
 void watchCaller(tcp::socket &Socket, std::shared_ptr<CallerWatch> Watch,
                  std::shared_ptr<void> Owner) {
   Socket.async_wait(
@@ -55,12 +64,7 @@
        Owner = std::move(Owner)](const boost::system::error_code &Error) {
         if (Error)
           return;
-        boost::system::error_code PeekError;
-        char Byte = 0;
-        Socket.non_blocking(true, PeekError);
-        Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
-                       PeekError);
-        Watch->m_Gone = PeekError && PeekError != asio::error::would_block;
+        lookForClose(Socket, *Watch);
         if (Watch->m_Gone && Watch->m_OnGone)
           Watch->m_OnGone();
       });
@@ -112,7 +116,8 @@
 }
 
 struct HttpServer::Connection {
-  explicit Connection(tcp::socket Socket) : m_Stream(std::move(Socket)) {}
+  Connection(tcp::socket Socket, std::size_t MaxBuffered)
+      : m_Stream(std::move(Socket)), m_Buffer(MaxBuffered) {}
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
   std::string m_PeerIp;
@@ -175,7 +180,9 @@
     if (PeerError)
       continue;
     Socket.set_option(tcp::no_delay(true), PeerError);
-    auto Client = std::make_shared<Connection>(std::move(Socket));
+    auto Client = std::make_shared<Connection>(
+        std::move(Socket),
+        std::max(MaxUnreadBytes, m_Limits.m_MaxHeaderBytes + ReadAheadBytes));
     Client->m_PeerIp = Peer.address().to_string();
     asio::co_spawn(m_Io, serve(std::move(Client)), asio::detached);
   }
@@ -293,8 +300,12 @@
   HttpResponse Response;
   Client->m_Stream.expires_never();
   ++m_Active;
-  if (!Request.m_Rest)
+  if (!Request.m_Rest) {
+    // A process that had no processor may read requests long after their
+    // callers have left.
+    lookForClose(Client->m_Stream.socket(), *Request.m_Caller);
     watchCaller(Client->m_Stream.socket(), Request.m_Caller, Client);
+  }
   try {
     Response = co_await m_Handler(std::move(Request));
   } catch (const std::exception &Thrown) {
--- a/net/ListNews.cpp
+++ b/net/ListNews.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::size_t RowsPerDatagram = 12; // Fewer when they are long.
+// Places of the parts that only news on its way over other VMs has.
+constexpr Json::ArrayIndex OriginAt = 11;
+constexpr Json::ArrayIndex PassOnAt = 12;
+constexpr std::size_t BytesPerTarget = 18; // IP number, quotes and a comma.
 
 using Json::Value;
 
@@ -97,34 +101,54 @@
     News.m_ConfigRevision = Json[9].asUInt64();
     News.m_ConfigBytes = Json[10].asUInt64();
   }
+  if (Json.size() > PassOnAt) {
+    News.m_Origin = Json[OriginAt].asString();
+    requireArray(Json[PassOnAt], 0);
+    for (const Value &Vm : Json[PassOnAt])
+      News.m_PassOnTo.push_back(Vm.asString());
+  }
   return News;
 }
 
-std::vector<std::string> listNewsTexts(ListNews News, std::size_t MaxBytes,
-                                       Time Now) {
+ListNewsMessages listNewsMessages(ListNews News, std::size_t MaxBytes,
+                                  std::size_t MostPassedOnTo, Time Now) {
+  std::size_t Reserved =
+      MostPassedOnTo == 0 ? 0 : (MostPassedOnTo + 2) * BytesPerTarget;
   std::vector<ListedRow> Rows = std::exchange(News.m_Rows, {});
-  std::string WithoutRows = encodeNotification("list", toJson(News, Now));
-  std::vector<std::string> Texts;
+  ListNewsMessages Made;
   std::size_t Bytes = 0;
-  std::size_t Next = 0;
   do {
-    std::size_t Count = std::min(RowsPerDatagram, Rows.size() - Next);
-    std::string Text;
+    std::size_t Left = Rows.size() - Made.m_RowsTold;
+    std::size_t Count = std::min(RowsPerDatagram, Left);
+    Value Message;
+    std::size_t Size = 0;
     for (;; --Count) {
-      auto First = Rows.begin() + static_cast<std::ptrdiff_t>(Next);
+      auto First = Rows.begin() + static_cast<std::ptrdiff_t>(Made.m_RowsTold);
       News.m_Rows.assign(First, First + static_cast<std::ptrdiff_t>(Count));
-      News.m_More = Next + Count < Rows.size();
-      Text = encodeNotification("list", toJson(News, Now));
-      if (Text.size() <= MaxDatagramBytes || Count <= 1)
+      News.m_More = Count < Left;
+      Message = toJson(News, Now);
+      Size = listNewsText(Message).size() + Reserved;
+      if (Size <= MaxDatagramBytes || Count <= 1)
         break;
     }
-    Bytes += Text.size();
-    if (Bytes > MaxBytes)
-      return {std::move(WithoutRows)};
-    Texts.push_back(std::move(Text));
-    Next += std::max<std::size_t>(Count, 1);
-  } while (Next < Rows.size());
-  return Texts;
+    if (!Made.m_Messages.empty() && Bytes + Size > MaxBytes)
+      break;
+    Bytes += Size;
+    Made.m_Messages.push_back(std::move(Message));
+    Made.m_RowsTold += Count;
+  } while (Made.m_RowsTold < Rows.size());
+  return Made;
+}
+
+std::string listNewsText(Json::Value Message, const std::string &Origin,
+                         const std::vector<std::string> &PassOnTo) {
+  if (!Origin.empty()) {
+    Message[OriginAt] = Origin;
+    Message[PassOnAt] = Value(Json::arrayValue);
+    for (const std::string &Vm : PassOnTo)
+      Message[PassOnAt].append(Vm);
+  }
+  return encodeNotification("list", Message);
 }
 
 } // namespace rhubarb::net
--- a/net/ListNews.h
+++ b/net/ListNews.h
@@ -25,16 +25,28 @@
   std::set<std::string> m_Evacuated;  // Failure domains, by operators.
   std::vector<ListedRow> m_Rows;
   bool m_More = false; // Further rows follow in another message.
+  // Passed on by VMs: who sent it first, and who is to get it from here.
+  std::string m_Origin;
+  std::vector<std::string> m_PassOnTo;
+};
+
+// News in messages that fit into a datagram each.
+struct ListNewsMessages {
+  std::vector<Json::Value> m_Messages;
+  std::size_t m_RowsTold = 0; // Of the rows, from the first on.
 };
 
 // Returns the JSON form. Times are relative to Now.
 Json::Value toJson(const ListNews &News, Time Now);
 // Reads it; throws Json::Exception for a message of the wrong shape.
 ListNews readListNews(const Json::Value &Json, Time Now);
-// Returns notifications that fit into a datagram each. If they would be longer
-// than MaxBytes in all, it is one without rows: the receiver sees by the digest
-// that it lacks some.
-std::vector<std::string> listNewsTexts(ListNews News, std::size_t MaxBytes,
-                                       Time Now);
+// Returns the messages, at least one, with as many rows as MaxBytes take. While
+// rows are left the last one says so: the receiver lacks nothing yet. Each
+// message leaves room for as many VMs that it is to be passed on to.
+ListNewsMessages listNewsMessages(ListNews News, std::size_t MaxBytes,
+                                  std::size_t MostPassedOnTo, Time Now);
+// Returns the notification of a message, to be passed on as told.
+std::string listNewsText(Json::Value Message, const std::string &Origin = {},
+                         const std::vector<std::string> &PassOnTo = {});
 
 } // namespace rhubarb::net
--- a/net/Text.cpp
+++ b/net/Text.cpp
@@ -1,6 +1,8 @@
 #include "net/Text.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -24,6 +26,19 @@
   return Error == std::errc() && Stop == End ? Value : Default;
 }
 
+Duration readSeconds(std::string_view Text) {
+  constexpr double Day = 24 * 60 * 60;
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] =
+      std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
+  bool Good = Error == std::errc() && Stop == End && std::isfinite(Value);
+  if (!Good || Value <= 0)
+    return Duration{0};
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(Value, Day)));
+}
+
 Result<std::string> readFile(const std::string &Name) {
   std::ifstream Stream(Name);
   if (!Stream)
--- a/net/Text.h
+++ b/net/Text.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "rhubarb/Errors.h"
+#include "rhubarb/Types.h"
 
 #include <string>
 #include <string_view>
@@ -13,6 +14,9 @@
 std::vector<std::string> splitCommas(std::string_view Text);
 // Reads a whole number, or returns Default for anything else.
 std::int64_t readNumber(std::string_view Text, std::int64_t Default);
+// Reads seconds, with or without a fraction; 0 for anything else, dates and
+// negative numbers included. Longer than a day counts as a day.
+Duration readSeconds(std::string_view Text);
 // Reads a whole file. The fault names it.
 Result<std::string> readFile(const std::string &Name);
 
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -61,6 +61,47 @@
            Servers.finished(0, report(AttemptOutcome::Unreachable), Now, Now);
          },
          LeftOut::Unreachable},
+        {"it says in an answer that it leaves",
+         [](Fleet &Servers, Time Now) {
+           AttemptReport Made = report(AttemptOutcome::Served);
+           Made.m_Leaving = true;
+           Servers.started(0, 100ms, Now);
+           Servers.finished(0, Made, Now, Now);
+           Servers.update({server("a")}, Now); // The list does not know yet.
+         },
+         LeftOut::Leaving},
+        {"it said so before it started again",
+         [](Fleet &Servers, Time Now) {
+           Servers.heardWish(0, true, 0ms, Now);
+           BackendListing Next = server("a");
+           Next.m_Born = 2;
+           Servers.update({Next}, Now);
+         },
+         LeftOut::No},
+        {"it asks to be left alone",
+         [](Fleet &Servers, Time Now) {
+           AttemptReport Made = report(AttemptOutcome::Refused);
+           Made.m_LeaveAloneFor = 700ms;
+           Servers.started(0, 100ms, Now);
+           Servers.finished(0, Made, Now, Now);
+         },
+         LeftOut::Paused},
+        {"it asked to be left alone until now",
+         [](Fleet &Servers, Time Now) {
+           Servers.heardWish(0, false, 700ms, Now - 700ms);
+         },
+         LeftOut::No},
+        {"it asks to be left alone for too long",
+         [](Fleet &Servers, Time Now) {
+           Servers.heardWish(0, false, 86400s, Now - 61s);
+         },
+         LeftOut::No},
+        {"it asks less than before",
+         [](Fleet &Servers, Time Now) {
+           Servers.heardWish(0, false, 3s, Now - 1s);
+           Servers.heardWish(0, false, 1ms, Now - 500ms);
+         },
+         LeftOut::Paused},
         {"another server has its address",
          [](Fleet &Servers, Time Now) {
            Servers.started(0, 100ms, Now);
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -68,6 +68,30 @@
   }
 }
 
+// A server that reads a request and then sends without end.
+asio::awaitable<void> endlessServer(tcp::acceptor &Acceptor, std::string First,
+                                    std::string Again, std::size_t &Sent) {
+  auto [Error, Socket] = co_await Acceptor.async_accept(Await);
+  if (Error)
+    co_return;
+  char Buffer[4096];
+  co_await Socket.async_read_some(asio::buffer(Buffer), Await);
+  std::string Piece = std::move(First);
+  while (Piece.size() < 16384)
+    Piece += Again;
+  std::string Rest;
+  while (Rest.size() < 16384)
+    Rest += Again;
+  for (;;) {
+    auto [WriteError, Written] =
+        co_await asio::async_write(Socket, asio::buffer(Piece), Await);
+    Sent += Written;
+    if (WriteError)
+      co_return;
+    Piece = Rest;
+  }
+}
+
 HttpFailure sendToRaw(std::vector<std::string> Steps, Duration Pause,
                       Duration Limit) {
   Bench Parts;
@@ -232,6 +256,124 @@
     CHECK(Gone == 1);
   }
 
+  // Pattern: a process gets no processor for a while, and reads requests long
+  // after their callers have given them up.
+  TEST_CASE("a handler is told of a caller that left before it was read") {
+    struct Row {
+      const char *m_Name;
+      bool m_Leaves;
+    };
+    for (const Row &Case : {Row{"waits", false}, Row{"leaves", true}}) {
+      CAPTURE(Case.m_Name);
+      Bench Parts;
+      int Handled = 0;
+      int Gone = 0;
+      HttpServer Server(Parts.m_Io, Parts.m_Reach, HttpServerLimits{},
+                        [&](HttpRequest R) -> asio::awaitable<HttpResponse> {
+                          ++Handled;
+                          Gone += R.m_Caller->m_Gone ? 1 : 0;
+                          co_return jsonResponse(200, "{}");
+                        });
+      auto Port = Server.start("127.0.0.1", 0);
+      REQUIRE(Port);
+      // Done before the server's loop runs for the first time.
+      asio::io_context Other;
+      tcp::socket Caller(Other);
+      Caller.connect({asio::ip::make_address("127.0.0.1"), Port.value()});
+      asio::write(Caller, asio::buffer(std::string(
+                              "GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+      if (Case.m_Leaves)
+        Caller.close();
+      Parts.run([]() -> asio::awaitable<void> { co_await sleepFor(50ms); }());
+      CHECK(Handled == 1);
+      CHECK(Gone == (Case.m_Leaves ? 1 : 0));
+    }
+  }
+
+  // Pattern: a server in trouble sends bytes that are no answer until the
+  // caller closes.
+  TEST_CASE("bytes without end do not hold a request or fill the memory") {
+    const std::string Chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Row {
+      const char *m_Name;
+      std::string m_First;
+      std::string m_Again;
+      std::vector<HttpFailure> m_Expected; // One of them.
+    };
+    const Row Rows[] = {
+        {"a status line", "HTTP/1.1 200 ", "OK OK OK ",
+         {HttpFailure::TooLarge, HttpFailure::Malformed}},
+        {"one header line", "HTTP/1.1 200 OK\r\nA: ", "xxxxxxxx",
+         {HttpFailure::TooLarge}},
+        {"header lines", "HTTP/1.1 200 OK\r\n", "A: xxxxx\r\n",
+         {HttpFailure::TooLarge}},
+        {"a chunk extension", Chunked + "5;", "a=xxxxx;",
+         {HttpFailure::Malformed}},
+        {"a chunk's length", Chunked, "00000000", {HttpFailure::Malformed}},
+        {"trailers", Chunked + "2\r\nok\r\n0\r\n", "A: xxxxx\r\n",
+         {HttpFailure::Malformed, HttpFailure::TooLarge}},
+        {"a body without length", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxx",
+         {HttpFailure::TooLarge}},
+        {"chunks", Chunked, "8\r\nxxxxxxxx\r\n", {HttpFailure::TooLarge}},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n",
+         {HttpFailure::Malformed}},
+        {"answers to others", "",
+         "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 1\r\n\r\nx",
+         {HttpFailure::Cut}},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      Bench Parts;
+      tcp::acceptor Acceptor(Parts.m_Io,
+                             {asio::ip::make_address("127.0.0.1"), 0});
+      std::string Address =
+          "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+      std::size_t Sent = 0;
+      asio::co_spawn(Parts.m_Io,
+                     endlessServer(Acceptor, Case.m_First, Case.m_Again, Sent),
+                     asio::detached);
+      HttpResult Seen;
+      Time Began = now();
+      Parts.run([](Bench &Used, std::string To,
+                   HttpResult &Out) -> asio::awaitable<void> {
+        HttpRequest Request;
+        SendOptions Options;
+        Options.m_Matches = [](const HttpResponse &Response) {
+          return Response.header("Id") != "0";
+        };
+        Out =
+            co_await Used.m_Client.send(To, Request, now() + 300ms, Options);
+        co_await sleepFor(20ms); // The server sees the close.
+      }(Parts, Address, Seen));
+      CAPTURE(httpFailureName(Seen.m_Failure));
+      CHECK(std::find(Case.m_Expected.begin(), Case.m_Expected.end(),
+                      Seen.m_Failure) != Case.m_Expected.end());
+      CHECK(now() - Began < 1s);
+      CHECK(Parts.m_Client.idleConnections() == 0);
+    }
+  }
+
+  TEST_CASE("a caller's bytes without end are refused") {
+    const std::string Chunked =
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Row {
+      const char *m_Name;
+      std::string m_Text;
+    };
+    const std::string Long(1U << 20U, 'x');
+    for (const Row &Case :
+         {Row{"a target", "GET /" + Long}, Row{"a chunk extension",
+                                               Chunked + "5;a=" + Long},
+          Row{"trailers", Chunked + "0\r\nA: " + Long}}) {
+      CAPTURE(Case.m_Name);
+      int Handled = 0;
+      std::string Answer = rawExchange(HttpServerLimits{}, Case.m_Text, Handled);
+      CHECK(Handled == 0);
+      CHECK((Answer.empty() || Answer.starts_with("HTTP/1.1 4")));
+    }
+  }
+
   TEST_CASE("requests that are refused before the handler") {
     HttpServerLimits Limits;
     Limits.m_MaxHeaderBytes = 500;
--- a/test/ListingTest.cpp
+++ b/test/ListingTest.cpp
@@ -1,5 +1,6 @@
 #include "rhubarb/Listing.h"
 #include "rhubarb/Readers.h"
+#include "rhubarb/Relays.h"
 
 #include "net/ListNews.h"
 #include "net/Messages.h"
@@ -66,6 +67,8 @@
          [](BackendListing &S) { S.m_Address = "10.0.0.2:80"; }, true},
         {"more slots", [](BackendListing &S) { S.m_Slots = 9; }, true},
         {"colder", [](BackendListing &S) { S.m_ColdUntil = 9s; }, true},
+        {"cold for as long, told a little later",
+         [](BackendListing &S) { S.m_ColdUntil = 200ms; }, false},
     };
     for (const Row &Case : Rows) {
       CAPTURE(Case.m_Name);
@@ -141,58 +144,119 @@
     CHECK(Book.digest() == 0);
   }
 
-  TEST_CASE("news goes in as many datagrams as it needs, or without rows") {
+  TEST_CASE("news goes in as many datagrams as it needs, the rest follows") {
     struct Row {
       std::size_t m_Rows;
       std::size_t m_MaxBytes;
+      std::size_t m_PassedOnTo;
       bool m_AllSent;
     };
     for (const Row &Case :
-         {Row{0, 16000, true}, Row{1, 16000, true}, Row{12, 16000, true},
-          Row{13, 16000, true}, Row{120, 16000, true}, Row{600, 16000, false},
-          Row{12, 1400, true}, Row{30, 1400, false}}) {
+         {Row{0, 16000, 0, true}, Row{1, 16000, 0, true},
+          Row{12, 16000, 0, true}, Row{13, 16000, 9, true},
+          Row{100, 16000, 9, true}, Row{600, 16000, 0, false},
+          Row{12, 1400, 0, true}, Row{30, 1400, 0, false},
+          Row{30, 1400, MaxPassedOnTo, false}}) {
       CAPTURE(Case.m_Rows);
+      CAPTURE(Case.m_PassedOnTo);
+      const std::vector<std::string> Rest(Case.m_PassedOnTo, "10.200.100.100");
       ListNews News;
       News.m_Revision = 7;
       for (std::size_t I = 0; I < Case.m_Rows; ++I)
         News.m_Rows.push_back(
             {server("i-" + std::to_string(I)), 5, false, Time{0}});
-      std::size_t Sent = 0;
+      std::set<std::string> Told;
       std::size_t Bytes = 0;
-      std::vector<std::string> Texts = listNewsTexts(News, Case.m_MaxBytes, 1s);
-      for (std::size_t I = 0; I < Texts.size(); ++I) {
-        CHECK(Texts[I].size() <= MaxDatagramBytes);
-        Bytes += Texts[I].size();
-        Result<Json::Value> Parsed = parseJson(Texts[I]);
+      ListNewsMessages Made =
+          listNewsMessages(News, Case.m_MaxBytes, Case.m_PassedOnTo, 1s);
+      for (std::size_t I = 0; I < Made.m_Messages.size(); ++I) {
+        std::string Text =
+            Rest.empty() ? listNewsText(Made.m_Messages[I])
+                         : listNewsText(Made.m_Messages[I], "10.0.0.1", Rest);
+        CHECK(Text.size() <= MaxDatagramBytes);
+        Bytes += Text.size();
+        Result<Json::Value> Parsed = parseJson(Text);
         REQUIRE(Parsed);
         ListNews Got = readListNews(Parsed.value()["params"], 1s);
-        Sent += Got.m_Rows.size();
-        CHECK(Got.m_More == (I + 1 < Texts.size()));
+        CHECK(Got.m_PassOnTo == Rest);
+        for (const ListedRow &Each : Got.m_Rows)
+          Told.insert(Each.m_Listing.m_Id);
+        // Only the last of all says that nothing is left.
+        bool Last = I + 1 == Made.m_Messages.size() &&
+                    Made.m_RowsTold == Case.m_Rows;
+        CHECK(Got.m_More == !Last);
       }
-      CHECK(Sent == (Case.m_AllSent ? Case.m_Rows : 0));
+      CHECK(Told.size() == Made.m_RowsTold);
+      CHECK((Made.m_RowsTold == Case.m_Rows) == Case.m_AllSent);
+      CHECK((Case.m_Rows == 0 || Made.m_RowsTold > 0));
       CHECK(Bytes <= Case.m_MaxBytes);
-      CHECK((Case.m_AllSent || Texts.size() == 1));
     }
   }
 
+  TEST_CASE("news that is passed on reaches its reader unchanged") {
+    ListNews News;
+    News.m_Revision = 7;
+    News.m_Digest = 99;
+    News.m_Rows.push_back({server("i-1"), 5, false, Time{0}});
+    Json::Value Message = listNewsMessages(News, 9000, 2, 1s).m_Messages.at(0);
+    Result<Json::Value> First =
+        parseJson(listNewsText(Message, "10.0.0.1", {"10.0.0.2", "10.0.0.3"}));
+    REQUIRE(First);
+    ListNews Passed = readListNews(First.value()["params"], 1s);
+    Result<Json::Value> Second =
+        parseJson(listNewsText(First.value()["params"], Passed.m_Origin));
+    REQUIRE(Second);
+    ListNews Got = readListNews(Second.value()["params"], 1s);
+    CHECK(Got.m_Origin == "10.0.0.1");
+    CHECK(Got.m_PassOnTo.empty());
+    CHECK(Got.m_Digest == 99);
+    CHECK(Got.m_Rows.size() == 1);
+  }
+
   // Pattern: some of a large service's servers come at once. What the reader
-  // sends must leave room on the smallest VM's link, 10 Mbit/s, for other news.
+  // sends must leave room on the smallest VM's link, 10 Mbit/s, for other news,
+  // and all must be told well within the bounds, of 2 s and more.
   TEST_CASE("many changes at once do not fill the reader's link") {
     constexpr std::size_t LinkBytesPerSecond = 1'250'000;
-    for (std::size_t Vms : {5U, 20U, 100U, 330U})
-      for (std::size_t Rows : {1U, 12U, 120U, 300U, 3000U}) {
-        CAPTURE(Vms);
-        CAPTURE(Rows);
+    constexpr int SendsPerSecond = 5;
+    struct Row {
+      std::size_t m_Vms;
+      std::size_t m_Rows;
+      int m_MostSends;
+    };
+    for (const Row &Case :
+         {Row{5, 300, 5}, Row{16, 300, 10}, Row{98, 12, 1}, Row{98, 450, 10},
+          Row{98, 1350, 25}, Row{330, 450, 15}}) {
+      CAPTURE(Case.m_Vms);
+      CAPTURE(Case.m_Rows);
+      std::vector<RelayTarget> Vms;
+      for (std::size_t I = 0; I < Case.m_Vms; ++I)
+        Vms.push_back({"10.1.0." + std::to_string(I),
+                       "d" + std::to_string(I % 3), true});
+      std::vector<RelayGroup> Groups = relayGroups(Vms, 1);
+      std::size_t Rest = 0;
+      for (const RelayGroup &Group : Groups)
+        Rest = std::max(Rest, Group.m_Rest.size());
+      ListingBook Book;
+      for (std::size_t I = 0; I < Case.m_Rows; ++I)
+        Book.put(server("i-" + std::to_string(I)), 5, 1s);
+      std::uint64_t Told = 0;
+      int Sends = 0;
+      while (Told < Book.changes()) {
         ListNews News;
-        for (std::size_t I = 0; I < Rows; ++I)
-          News.m_Rows.push_back(
-              {server("i-" + std::to_string(I)), 5, false, Time{0}});
+        News.m_Rows = Book.changedAfter(Told);
+        ListNewsMessages Made =
+            listNewsMessages(News, newsBytes(Groups.size()), Rest, 1s);
         std::size_t Bytes = 0;
-        for (const std::string &Text :
-             listNewsTexts(News, bytesToTell(Vms), 1s))
-          Bytes += Text.size();
-        CHECK(Bytes * Vms <= LinkBytesPerSecond / 2);
+        for (const Json::Value &Message : Made.m_Messages)
+          Bytes += listNewsText(Message).size();
+        CHECK(Bytes * Groups.size() * SendsPerSecond <= LinkBytesPerSecond / 2);
+        CHECK(Bytes * Rest * SendsPerSecond <= LinkBytesPerSecond / 2);
+        Told = News.m_Rows[Made.m_RowsTold - 1].m_Change;
+        ++Sends;
       }
+      CHECK(Sends <= Case.m_MostSends);
+    }
   }
 
   TEST_CASE("places go in as many datagrams as they need") {
@@ -250,7 +314,10 @@
 
   TEST_CASE("a message of the wrong shape is refused") {
     for (const char *Text : {"{}", "[]", "[1,2,3]", "[1,2,3,4,5,6,[],[[1]]]",
-                             "[1,2,3,4,5,6,{},[]]"}) {
+                             "[1,2,3,4,5,6,{},[]]",
+                             "[1,2,3,4,5,6,[],[],0,0,0,[],[]]",
+                             "[1,2,3,4,5,6,[],[],0,0,0,\"x\",7]",
+                             "[1,2,3,4,5,6,[],[],0,0,0,\"x\",[[]]]"}) {
       CAPTURE(Text);
       Result<Json::Value> Parsed = parseJson(Text);
       REQUIRE(Parsed);
--- a/test/NetTest.cpp
+++ b/test/NetTest.cpp
@@ -6,6 +6,7 @@
 #include "net/RpcClientCodec.h"
 #include "net/RpcServer.h"
 #include "net/Settings.h"
+#include "net/Text.h"
 
 #include <doctest/doctest.h>
 
@@ -104,6 +105,22 @@
     CHECK(!Loaded.value().flag("a.on"));
   }
 
+  TEST_CASE("seconds as a server states them") {
+    struct Row {
+      const char *m_Text;
+      Duration m_Expected;
+    };
+    for (const Row &Case :
+         {Row{"2", 2s}, Row{"0.5", 500ms}, Row{"1.25", 1250ms}, Row{"0", 0s},
+          Row{"", 0s}, Row{"-3", 0s}, Row{"soon", 0s}, Row{"1 s", 0s},
+          Row{" 1", 0s}, Row{"nan", 0s}, Row{"inf", 0s}, Row{"1e3", 0s},
+          Row{"Fri, 04 Dec 2026 10:00:00 GMT", 0s}, Row{"999999999999", 24h},
+          Row{"99999999999999999999999999999999999999999", 24h}}) {
+      CAPTURE(Case.m_Text);
+      CHECK(readSeconds(Case.m_Text) == Case.m_Expected);
+    }
+  }
+
   TEST_CASE("faults name key, value and range") {
     struct Row {
       std::vector<std::string> m_Overrides;
--- a/test/ReadersTest.cpp
+++ b/test/ReadersTest.cpp
@@ -163,6 +163,41 @@
     }
   }
 
+  // Pattern: a fleet starts at once. For a moment each VM knows no other, and
+  // would take itself for the reader.
+  TEST_CASE("a VM that has just started waits for the reader's news") {
+    struct Row {
+      const char *m_Name;
+      Time m_HearsAt; // 0: never.
+      ReadReason m_At300ms;
+      ReadReason m_At600ms;
+    };
+    for (const Row &Case :
+         {Row{"it hears the reader", 200ms, ReadReason::None, ReadReason::None},
+          Row{"it hears nobody", 0s, ReadReason::None, ReadReason::Reader}}) {
+      CAPTURE(Case.m_Name);
+      constexpr Time Start = 10s;
+      ReaderDuty Duty(Bound);
+      Duty.started(Start);
+      if (Case.m_HearsAt.count() > 0)
+        Duty.heard(100ms, Start + Case.m_HearsAt);
+      CHECK(Duty.reasonToRead(0, Start, Start + 300ms) == Case.m_At300ms);
+      CHECK(Duty.reasonToRead(0, Start, Start + 600ms) == Case.m_At600ms);
+    }
+  }
+
+  TEST_CASE("each reason to read has its case") {
+    ReaderDuty Duty(Bound);
+    CHECK(Duty.reasonToRead(0, 10s, 10s) == ReadReason::Reader);
+    CHECK(Duty.reasonToRead(5, 10s, 10s) == ReadReason::None);
+    CHECK(Duty.reasonToRead(5, 10s, 12s) == ReadReason::TooOld);
+    Duty.heard(0ms, 10s);
+    CHECK(Duty.reasonToRead(0, 10s, 10s) == ReadReason::None);
+    Duty.complete(3, 10s);
+    Duty.told(9, 10s);
+    CHECK(Duty.reasonToRead(5, 11s, 11s) == ReadReason::Behind);
+  }
+
   // Pattern: many servers come at once, more than the reader tells. Without the
   // control plane a peer is asked.
   TEST_CASE("a VM that lacks changes reads them within half a bound") {
--- /dev/null
+++ b/test/RelaysTest.cpp
@@ -0,0 +1,71 @@
+// How a reader's news reaches each VM of its region, over others.
+#include "rhubarb/Relays.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace rhubarb;
+
+TEST_SUITE("relays") {
+  TEST_CASE("each VM is told once, within its failure domain") {
+    struct Row {
+      std::size_t m_Vms;
+      std::size_t m_Domains;
+      std::size_t m_DeadEvery; // 0: none.
+      std::size_t m_MostGroups;
+    };
+    for (const Row &Case :
+         {Row{0, 1, 0, 0}, Row{1, 1, 0, 1}, Row{16, 2, 0, 16},
+          Row{17, 2, 0, 6}, Row{98, 3, 0, 13}, Row{98, 3, 5, 13},
+          Row{330, 3, 7, 24}, Row{2020, 2, 0, 54}}) {
+      CAPTURE(Case.m_Vms);
+      std::vector<RelayTarget> Vms;
+      std::map<std::string, std::string> DomainOf;
+      std::set<std::string> Dead;
+      for (std::size_t I = 0; I < Case.m_Vms; ++I) {
+        RelayTarget Target;
+        Target.m_Vm = "10.0." + std::to_string(I / 250) + "." +
+                      std::to_string(I % 250);
+        Target.m_Domain = "d" + std::to_string(I % Case.m_Domains);
+        Target.m_Live = Case.m_DeadEvery == 0 || I % Case.m_DeadEvery != 0;
+        DomainOf[Target.m_Vm] = Target.m_Domain;
+        if (!Target.m_Live)
+          Dead.insert(Target.m_Vm);
+        Vms.push_back(Target);
+      }
+      std::set<std::string> PassedOn;
+      for (std::uint64_t Round = 1; Round <= 3; ++Round) {
+        std::multiset<std::string> Told;
+        std::vector<RelayGroup> Groups = relayGroups(Vms, Round);
+        CHECK(Groups.size() <= Case.m_MostGroups);
+        for (const RelayGroup &Group : Groups) {
+          Told.insert(Group.m_First);
+          CHECK(Group.m_Rest.size() < MaxPassedOnTo);
+          if (!Group.m_Rest.empty())
+            CHECK(!Dead.contains(Group.m_First));
+          if (!Group.m_Rest.empty() && Case.m_Vms > MaxToldDirectly)
+            CHECK(PassedOn.insert(Group.m_First).second); // Another each round.
+          for (const std::string &Vm : Group.m_Rest) {
+            Told.insert(Vm);
+            CHECK(DomainOf[Vm] == DomainOf[Group.m_First]);
+          }
+        }
+        CHECK(Told.size() == Case.m_Vms);
+        CHECK(std::set<std::string>(Told.begin(), Told.end()).size() ==
+              Case.m_Vms);
+      }
+    }
+  }
+
+  TEST_CASE("a failure domain without a live VM is told directly") {
+    std::vector<RelayTarget> Vms;
+    for (int I = 0; I < 40; ++I)
+      Vms.push_back({std::to_string(I), I < 20 ? "lost" : "sound", I >= 20});
+    std::size_t Direct = 0;
+    for (const RelayGroup &Group : relayGroups(Vms, 1))
+      Direct += Group.m_Rest.empty() ? 1 : 0;
+    CHECK(Direct == 20);
+  }
+}
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -132,6 +132,8 @@
   for (const std::string &Seed : m_Settings.m_Seeds)
     learnVm(Seed, "");
   m_LastTick = now();
+  m_ListDuty.started(now());
+  m_OperatorDuty.started(now());
   spawn(m_Io, tickLoop());
   spawn(m_Io, probeLoop());
   spawn(m_Io, heartbeatLoop());
@@ -352,6 +354,17 @@
             {"answer", std::string(healthAnswerName(Answer))},
             {"failure", std::string(httpFailureName(Got.m_Failure))},
             {"status", std::to_string(Got.m_Response.m_Status)}});
+  if (Got.m_Failure == HttpFailure::None &&
+      Got.m_Response.header(m_Names.m_ServerId) == Server.m_Id) {
+    AttemptReport Wish;
+    Wish.m_Leaving = Got.m_Response.header(m_Names.m_Leaving) == "1";
+    if (Got.m_Response.m_Status == 503)
+      Wish.m_LeaveAloneFor =
+          readSeconds(Got.m_Response.header(m_Names.m_RetryAfter));
+    countWishes(Server, Wish);
+    m_Dispatcher.fleet().heardWish(Index, Wish.m_Leaving, Wish.m_LeaveAloneFor,
+                                   now());
+  }
   m_Dispatcher.fleet().probed(Index, Answer,
                               std::chrono::milliseconds(ColdMillis), now());
 }
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -14,6 +14,7 @@
 #include "rhubarb/Dispatch.h"
 #include "rhubarb/Members.h"
 #include "rhubarb/Readers.h"
+#include "rhubarb/Relays.h"
 #include "rhubarb/Retry.h"
 #include "rhubarb/Routes.h"
 
@@ -59,6 +60,8 @@
   std::string m_ServerId;
   std::string m_Load;       // Running, waiting, slots.
   std::string m_NotRun;     // The backend server did not run the request.
+  std::string m_Leaving;    // "1": the backend server is about to stop.
+  std::string m_RetryAfter; // Seconds for which it wants no request from here.
   std::string m_ColdMillis; // In health answers.
 };
 
@@ -99,6 +102,13 @@
   std::string m_Text;
 };
 
+// What a read of the list has given.
+enum class ListRead : std::uint8_t {
+  Failed,  // The control plane gave no answer.
+  Lagging, // A list that may be seconds old; VMs that know better say so.
+  Current, // All changes up to now.
+};
+
 // What the control plane offers to the node.
 struct ControlHooks {
   // Makes the answer to a look-up from addresses, the best first.
@@ -127,16 +137,15 @@
   ListingBook &list() { return m_List; }
   // Records that the list was complete up to a revision of the control plane.
   void listComplete(std::uint64_t Revision, Time KnownAt);
-  // Puts the list in force, and tells the VMs of the region. Read is false when
-  // the control plane gave no answer.
-  void listRead(bool Read);
+  // Puts the list in force, and tells the VMs of the region.
+  void listRead(ListRead How);
   // Tells the revision of the operators' last change, up to which revision of
   // the control plane that is known, and when.
   void operatorRead(bool Read, std::uint64_t LastChange, std::uint64_t Complete,
                     Time KnownAt);
   // Whether this VM should read the list, or operators' changes, itself: it is
   // the reader of its region, or the reader's news fails to come.
-  bool shouldReadList() const;
+  ReadReason reasonToReadList() const;
   // Whether this VM is among those that tell its region what they read. One
   // that leaves hands over to the next, who counts from then on.
   bool tellsRegion() const {
@@ -144,7 +153,9 @@
   }
   const ReaderDuty &listDuty() const { return m_ListDuty; }
   const ReaderDuty &operatorDuty() const { return m_OperatorDuty; }
-  bool shouldReadOperator() const;
+  ReadReason reasonToReadOperator() const;
+  // Logs and counts that a kind of read begins for another reason than before.
+  void logRead(const char *What, ReadReason Reason, ReadReason Before) const;
   void applyEvacuated(const std::set<std::string> &Domains,
                       std::uint64_t Revision);
   // Adds VMs that the control plane lists.
@@ -160,6 +171,8 @@
   asio::awaitable<HttpResponse> run(ExchangePtr Work);
   asio::awaitable<void> place(ExchangePtr Work);
   asio::awaitable<AttemptVerdict> attempt(ExchangePtr Work);
+  void countWishes(const BackendListing &Server,
+                   const AttemptReport &Report) const;
   void judge(Exchange &Work, HttpResult &Got, AttemptVerdict &Verdict) const;
   void judgeAnswer(Exchange &Work, HttpResponse &Response,
                    AttemptVerdict &Verdict) const;
@@ -205,6 +218,9 @@
   void compareOperatorNews();
   ListNews ownNews(std::vector<ListedRow> Rows) const;
   void sendNews();
+  std::vector<RelayGroup> newsGroups();
+  void passOn(const Json::Value &Params, const ListNews &News);
+  bool hasNewsLeft() const { return m_ToldChange < m_List.changes(); }
   void tellRegion();
   void tellServers();
   void takePlaces(const Json::Value &Params);
@@ -252,6 +268,9 @@
   ReaderDuty m_ListDuty;
   ReaderDuty m_OperatorDuty;
   Time m_NewsSentAt{0};
+  std::uint64_t m_NewsRound = 0;
+  std::uint64_t m_ToldChange = 0; // Of the list; later ones are not yet told.
+  bool m_ListIsCurrent = false;   // The control plane has told all, once.
   Time m_ServersToldAt{0};
   std::size_t m_NextTold = 0; // Of the region's VMs, who hears of servers next.
   bool m_ReadFailing = false; // The control plane does not answer this VM.
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -14,12 +14,10 @@
 constexpr Duration HeartbeatPause = 500ms;
 constexpr Duration RelayedHeartbeatPause = 1s; // In fleets that relay them.
 constexpr Duration FetchTimeout = 1s;
-constexpr std::size_t MaxRepeatedRows = 12; // One datagram.
+constexpr std::size_t MaxRepeatedRows = 8; // One datagram.
 // A small configuration is fetched from a peer, which saves a call of the
 // store.
 constexpr std::size_t MaxPeerConfigBytes = 24U << 10U;
-// A socket's buffer takes as much without loss.
-constexpr std::size_t MaxNewsBytes = 16U << 10U;
 // Rows passed on with a heartbeat. In fleets of up to eighty VMs each hears of
 // every other well within the time after which it would count as silent
 // (unit.members); larger ones would need more than small VMs can read.
@@ -39,6 +37,7 @@
 // News is told at least this often, and again after an answer.
 constexpr Duration NewsPause = 400ms;
 constexpr Duration NewsAfterAnswer = 100ms;
+constexpr Duration NewsRestPause = 200ms; // While changes are left to tell.
 
 } // namespace
 
@@ -205,8 +204,23 @@
   return readerRank(m_Settings.m_Ip, liveInRegion());
 }
 
-bool Node::shouldReadList() const {
-  return m_ListDuty.shouldRead(ownReaderRank(), m_List.knownAt(), now());
+ReadReason Node::reasonToReadList() const {
+  return m_ListDuty.reasonToRead(ownReaderRank(), m_List.knownAt(), now());
+}
+
+void Node::logRead(const char *What, ReadReason Reason,
+                   ReadReason Before) const {
+  if (Reason == Before)
+    return;
+  m_Metrics.count("rhubarb_store_read_reasons_total",
+                  {{"what", What}, {"reason", std::string(readReasonName(Reason))}});
+  logEvent(Severity::Info, "store_read",
+           {{"what", What},
+            {"reason", std::string(readReasonName(Reason))},
+            {"before", std::string(readReasonName(Before))},
+            {"reader_rank", std::to_string(ownReaderRank())},
+            {"list", std::to_string(m_List.revision())},
+            {"list_age_ms", std::to_string((now() - m_List.knownAt()) / 1ms)}});
 }
 
 // Whether a configuration of this size is fetched from the peer that told of
@@ -215,12 +229,13 @@
   return ConfigBytes <= std::min(MaxPeerConfigBytes, bytesToTell(regionSize()));
 }
 
-bool Node::shouldReadOperator() const {
+ReadReason Node::reasonToReadOperator() const {
   bool Behind = m_OperatorTold.m_OperatorRevision > m_OperatorComplete;
   bool Waits = comesFromPeer(m_OperatorTold.m_ConfigBytes) &&
                now() - m_OperatorToldAt < PeerConfigPause;
-  return (Behind && !Waits) ||
-         m_OperatorDuty.shouldRead(ownReaderRank(), m_OperatorKnownAt, now());
+  if (Behind && !Waits)
+    return ReadReason::Behind;
+  return m_OperatorDuty.reasonToRead(ownReaderRank(), m_OperatorKnownAt, now());
 }
 
 void Node::listComplete(std::uint64_t Revision, Time KnownAt) {
@@ -228,14 +243,17 @@
   m_List.confirm(Revision, KnownAt);
 }
 
-void Node::listRead(bool Read) {
-  m_ReadFailing = !Read;
-  if (!Read)
+void Node::listRead(ListRead How) {
+  m_ReadFailing = How == ListRead::Failed;
+  if (m_ReadFailing)
     return;
+  m_ListIsCurrent = m_ListIsCurrent || How == ListRead::Current;
   bool Changed = m_List.changes() != m_ListApplied;
   if (Changed)
     applyList();
-  if (Changed || now() - m_NewsSentAt >= NewsAfterAnswer)
+  if (How == ListRead::Lagging)
+    m_ToldChange = m_List.changes(); // Others read it as well.
+  else if (Changed || now() - m_NewsSentAt >= NewsAfterAnswer)
     sendNews();
 }
 
@@ -254,7 +272,9 @@
 
 // Tells the region that its reader is at work, whether or not there is news.
 void Node::tellRegion() {
-  if (now() - m_NewsSentAt < NewsPause || m_ReadFailing || !shouldReadList() ||
+  Duration Pause = hasNewsLeft() ? NewsRestPause : NewsPause;
+  if (now() - m_NewsSentAt < Pause || m_ReadFailing || !m_ListIsCurrent ||
+      reasonToReadList() == ReadReason::None ||
       now() - m_List.knownAt() >= m_ListDuty.tooOld())
     return;
   sendNews();
@@ -274,27 +294,61 @@
   return News;
 }
 
-// Sends what has changed since the last news, and once more what has changed
-// lately, if it fits into one datagram.
-void Node::sendNews() {
-  if (!tellsRegion())
-    return; // Others of the region tell it.
-  Time Now = now();
-  std::vector<ListedRow> Rows = m_List.recent(NewsRepeated, Now);
-  if (Rows.size() > MaxRepeatedRows)
-    Rows = m_List.recent(Now - m_NewsSentAt, Now);
-  m_NewsSentAt = Now;
-  std::vector<std::string> Texts =
-      listNewsTexts(ownNews(std::move(Rows)),
-                    std::min(MaxNewsBytes, bytesToTell(regionSize())), Now);
+// The VMs of the region that are to hear news, and who passes it on to whom.
+std::vector<RelayGroup> Node::newsGroups() {
+  std::vector<RelayTarget> Targets;
   for (const MemberRow &Row : m_Members.rows()) {
     if (Row.m_Report.m_Vm == m_Settings.m_Ip ||
         Row.m_State == MemberState::Silent ||
         regionOf(Row) != m_Settings.m_Region)
       continue;
-    for (const std::string &Text : Texts)
-      m_Datagrams.send(Row.m_Report.m_Vm, m_Settings.m_PeerPort, Text);
+    Targets.push_back({Row.m_Report.m_Vm, Row.m_Report.m_Domain,
+                       Row.m_State == MemberState::Live});
   }
+  return relayGroups(std::move(Targets), ++m_NewsRound);
+}
+
+// Sends the changes that have not been told, as many as the links take, and a
+// few once more that are recent.
+void Node::sendNews() {
+  if (!tellsRegion()) { // Others of the region tell it.
+    m_ToldChange = m_List.changes();
+    return;
+  }
+  Time Now = now();
+  std::vector<ListedRow> Rows = m_List.changedAfter(m_ToldChange);
+  std::vector<ListedRow> Recent = m_List.recent(NewsRepeated, Now);
+  if (Rows.size() <= MaxRepeatedRows && Recent.size() <= MaxRepeatedRows)
+    Rows = std::move(Recent);
+  std::vector<RelayGroup> Groups = newsGroups();
+  std::size_t LargestRest = 0;
+  for (const RelayGroup &Group : Groups)
+    LargestRest = std::max(LargestRest, Group.m_Rest.size());
+  m_NewsSentAt = Now;
+  ListNewsMessages News =
+      listNewsMessages(ownNews(Rows), newsBytes(Groups.size()), LargestRest, Now);
+  bool All = News.m_RowsTold == Rows.size();
+  m_ToldChange = All ? m_List.changes() : Rows[News.m_RowsTold - 1].m_Change;
+  for (const Json::Value &Message : News.m_Messages) {
+    std::string Plain = listNewsText(Message);
+    for (const RelayGroup &Group : Groups)
+      m_Datagrams.send(Group.m_First, m_Settings.m_PeerPort,
+                       Group.m_Rest.empty()
+                           ? Plain
+                           : listNewsText(Message, m_Settings.m_Ip,
+                                          Group.m_Rest));
+  }
+}
+
+// Passes news on to the VMs that its sender named.
+void Node::passOn(const Json::Value &Params, const ListNews &News) {
+  if (News.m_PassOnTo.empty())
+    return;
+  std::string Text = listNewsText(Params, News.m_Origin);
+  std::size_t Left = MaxPassedOnTo;
+  for (const std::string &Vm : News.m_PassOnTo)
+    if (m_KnownVms.contains(Vm) && Left-- > 0)
+      m_Datagrams.send(Vm, m_Settings.m_PeerPort, Text);
 }
 
 // Tells the region which servers have run which objects, so that no other
@@ -354,19 +408,25 @@
 
 void Node::takeListNews(const Json::Value &Params, const std::string &PeerIp) {
   ListNews News = readListNews(Params, now());
+  passOn(Params, News);
+  const std::string &Origin = News.m_Origin.empty() ? PeerIp : News.m_Origin;
+  bool ToldAll = !hasNewsLeft();
   applyListNews(News);
-  bool Before = readsBefore(PeerIp, m_Settings.m_Ip);
-  if (Before && News.m_Digest == m_List.digest())
+  if (ToldAll) // Its sender has told it to all.
+    m_ToldChange = m_List.changes();
+  bool Before = readsBefore(Origin, m_Settings.m_Ip);
+  if (Before && (News.m_More || News.m_Digest == m_List.digest()))
     m_ListDuty.heard(News.m_Age, now());
   if (Before)
     m_OperatorDuty.heard(News.m_OperatorAge, now());
   if (News.m_ConfigRevision > revision() && !m_FetchingConfig &&
       comesFromPeer(News.m_ConfigBytes))
-    spawn(m_Io, fetchConfig(PeerIp));
-  m_ListDuty.told(News.m_Revision, now());
+    spawn(m_Io, fetchConfig(Origin));
+  if (!News.m_More)
+    m_ListDuty.told(News.m_Revision, now());
   if (m_ListDuty.shouldAskPeer(now()) && !m_FetchingList) {
     m_ListDuty.asksPeer(now());
-    spawn(m_Io, fetchList(PeerIp));
+    spawn(m_Io, fetchList(Origin));
   }
 }
 
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -133,6 +133,8 @@
   Work->m_TraceId = Request.header(m_Names.m_RequestId);
   Work->m_ConfigRevision = revision();
   Work->m_Request = std::move(Request);
+  if (Work->m_Request.m_Caller->m_Gone)
+    co_return refusal(*Work, ErrorKind::CallerGone, Duration{0});
   if (revision() == 0)
     co_return refusal(*Work, ErrorKind::NoConfiguration, StartingRetryAfter);
   if (m_Leaving && now() - m_LeavingSince > ServeWhileLeaving)
@@ -299,6 +301,7 @@
   judge(*Work, Got, Verdict);
   m_Dispatcher.finished(Work->m_Dispatch, Work->m_Placed, Verdict.m_Report,
                         StartedAt, now());
+  countWishes(Server, Verdict.m_Report);
   if (Verdict.m_Report.m_Outcome == AttemptOutcome::Unreachable)
     m_Backends.forget(Server.m_Address);
   Work->m_Dispatch.m_Tried.push_back(Index);
@@ -306,6 +309,19 @@
   co_return Verdict;
 }
 
+// Counts and logs what a server asks of this process.
+void Node::countWishes(const BackendListing &Server,
+                       const AttemptReport &Report) const {
+  if (!Report.m_Leaving && Report.m_LeaveAloneFor.count() == 0)
+    return;
+  m_Metrics.count("rhubarb_server_wishes_total",
+                  {{"wish", Report.m_Leaving ? "leaving" : "pause"}});
+  logEvent(Severity::Info, "server_wish",
+           {{"server", Server.m_Id},
+            {"leaving", Report.m_Leaving ? "yes" : "no"},
+            {"pause_ms", millisText(Report.m_LeaveAloneFor)}});
+}
+
 // Works out what the end of an attempt means.
 void Node::judge(Exchange &Work, HttpResult &Got,
                  AttemptVerdict &Verdict) const {
@@ -349,6 +365,10 @@
     Report.m_Load = *Load;
   }
   int Status = Response.m_Status;
+  Report.m_Leaving = Response.header(m_Names.m_Leaving) == "1";
+  if (Status == 503)
+    Report.m_LeaveAloneFor =
+        readSeconds(Response.header(m_Names.m_RetryAfter));
   if (Status == 421 || !Response.header(m_Names.m_NotRun).empty()) {
     Report.m_Outcome =
         Status == 421 ? AttemptOutcome::Misdirected : AttemptOutcome::Refused;
