What one VM finds out about servers is told to its region

Each of 295 VMs found out about each of 411 servers by requests of its own: from 4 to 6 s 18 in 100 requests of one failure domain timed out there, from 6 to 11 s 16 to 33 in 100 were refused by another server at the address (10,240 refused arrivals), mostly with retry_budget_spent; 40,187 health requests went to servers that another had replaced.

Ruled out: the list (entries lapse after 4.5 s of silence, and the store turned a third of the VMs away).

Change: a VM tells its region at once that a server cannot be reached, is back, has been replaced at its address, or leaves (Fleet::takeServerNews); suspicion lasts 5 s unless said again, and counts for nothing when it hits more than half of a pool. Attempts that wait at a replaced server end, idempotent ones also at a server whose machine takes no connection. Retries can be saved up for a window, within the users' share. Places and loads go over relays too: each VM of a region hears all of them, not a third.

What failed still are answers that servers lose.

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -74,6 +74,7 @@
   Full, // The server is alive, and refused it for want of room.
   Late, // The server took the connection and did not answer in time.
   Bad,  // Not reached, or another answer.
+  Replaced, // Another server answered.
 };
 std::string_view healthAnswerName(HealthAnswer Value);
 
@@ -89,6 +90,9 @@
   // long, up to the next.
   Duration m_UnreachableFirst = 500ms;
   Duration m_UnreachableMost = 4s;
+  // For so long nothing is sent to a server that others could not reach; they
+  // say so again while it goes on.
+  Duration m_SuspectFor = 5s;
   // A server with work under way counts as stalled when it has been silent for
   // all of these: this long, several times the pace at which its answers should
   // come, and somewhat longer than the longest of them should take.
@@ -119,6 +123,8 @@
   Time m_LastTrial{0};
   Time m_PausedUntil{0};     // Its own wish.
   bool m_SaidLeaving = false; // In an answer; holds until another start.
+  bool m_Replaced = false;    // The same.
+  Time m_SuspectUntil{0};     // Others say that it cannot be reached.
   Time m_LeftAloneUntil{0};
   Duration m_LeftAlone{0};
   bool m_MustProbe = false; // Was out of reach: a health answer comes first.
@@ -134,14 +140,25 @@
   Time m_At{0};
 };
 
+// What one process has found out about a server and others should know.
+enum class ServerNewsKind : std::uint8_t {
+  Unreachable, // No connection can be made, or its health request failed.
+  Back,        // It answers again.
+  Replaced,    // Another server has its address.
+  Leaving,     // It said so.
+};
+std::string_view serverNewsKindName(ServerNewsKind Value);
+
 // Why a server gets no new work at present.
 enum class LeftOut : std::uint8_t {
   No,
   NotListed,
   Leaving,
   Evacuated,
-  Paused, // It has asked this process to wait.
+  Replaced, // Another server has its address.
+  Paused,   // It has asked this process to wait.
   Unreachable,
+  Suspect, // Others could not reach it.
   Stalled,
   Failing,
 };
@@ -175,6 +192,12 @@
   // Returns the high loads that servers have told since the last call: other
   // processes, which send there too, should know.
   std::map<ServerIndex, HighLoad> takeHighLoads();
+  // Returns what this process has found out since the last call. Answers the
+  // pattern in which many servers of a large fleet go at once: each process
+  // would find out about each of them by requests of its own.
+  std::map<ServerIndex, ServerNewsKind> takeServerNews();
+  // Takes what another process has found out.
+  void heardNews(ServerIndex Index, ServerNewsKind Kind, Time Now);
   // Takes the answer to a health request.
   void probed(ServerIndex Index, HealthAnswer Answer, Duration ColdLeft,
               Time Now);
@@ -210,6 +233,7 @@
   }
   ServerIndex rowFor(const std::string &Id);
   void leaveAlone(BackendRow &Row, Time Now) const;
+  void setReplaced(ServerIndex Index);
   bool isStalled(const BackendRow &Row, Time Now) const;
   void rebuildPools();
 
@@ -220,6 +244,7 @@
   std::vector<std::vector<ServerIndex>> m_Pools;
   std::set<std::string> m_EvacuatedDomains;
   std::map<ServerIndex, HighLoad> m_HighLoads; // Not yet told to others.
+  std::map<ServerIndex, ServerNewsKind> m_News; // Not yet told to others.
   std::uint64_t m_Generation = 0;
 };
 
--- a/include/rhubarb/Relays.h
+++ b/include/rhubarb/Relays.h
@@ -27,7 +27,7 @@
 // Regions of up to so many other VMs are told directly.
 inline constexpr std::size_t MaxToldDirectly = 16;
 // Most VMs that one VM passes on to.
-inline constexpr std::size_t MaxPassedOnTo = 40;
+inline constexpr std::size_t MaxPassedOnTo = 24;
 
 // Splits a region's VMs into groups within failure domains, about as many as a
 // group has members. Who passes on changes with each round, so that a VM that
--- a/include/rhubarb/Retry.h
+++ b/include/rhubarb/Retry.h
@@ -1,14 +1,19 @@
 // The retry budget of one service: retries stay a small share of first tries.
 #pragma once
 
+#include "rhubarb/Types.h"
+
 #include <cstdint>
 
 namespace rhubarb {
 
-// Size of a retry budget.
+// Size of a retry budget. Saved retries answer the pattern in which a third of
+// the servers fails at once: what a steady share allows is then far too few.
 struct RetryLimits {
   double m_Share = 0.1;     // Retries per first try.
   double m_MaxSaved = 10.0; // Retries that a quiet time can save up.
+  double m_SavedShare = 0;  // And further ones, by first tries of a window.
+  Duration m_Window = 10s;
   double m_AtStart = 3.0;   // So that the very first calls can be retried.
 };
 
@@ -19,13 +24,15 @@
       : m_Limits(Limits), m_Tokens(Limits.m_AtStart) {}
 
   // Records a first try.
-  void firstTry();
+  void firstTry(Time Now = Time{0});
   // Takes one retry from the budget. False: give up now.
   bool tryRetry();
 
 private:
   RetryLimits m_Limits;
   double m_Tokens;
+  double m_Recent = 0; // First tries of about a window.
+  Time m_Counted{0};
 };
 
 } // namespace rhubarb
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -64,18 +64,21 @@
                    Row.m_Listing.m_Region) != Request.m_Regions.end();
 }
 
-// Whether failures leave out more than half of a pool: then the cause is not
-// in single servers, and leaving them out would only overload the rest.
+// Whether failures, or what others say, leave out more than half of a pool: then
+// the cause is not in single servers, and leaving them out would only overload
+// the rest.
 bool Dispatcher::mostlyLeftOut(int Pool, Time Now) const {
   int Total = 0;
   int Failing = 0;
   for (ServerIndex Index : m_Fleet.ofPool(Pool)) {
     const BackendRow &Row = m_Fleet.row(Index);
     LeftOut Why = m_Fleet.leftOut(Row, Now);
-    if (Why == LeftOut::Leaving || Why == LeftOut::Evacuated)
+    if (Why == LeftOut::Leaving || Why == LeftOut::Evacuated ||
+        Why == LeftOut::Replaced)
       continue;
     Total += Row.m_Listing.m_Slots;
-    Failing += Why == LeftOut::Failing ? Row.m_Listing.m_Slots : 0;
+    bool Weak = Why == LeftOut::Failing || Why == LeftOut::Suspect;
+    Failing += Weak ? Row.m_Listing.m_Slots : 0;
   }
   return Failing * 2 > Total;
 }
@@ -92,8 +95,8 @@
   for (ServerIndex Index : m_Fleet.ofPool(Request.m_Pool)) {
     const BackendRow &Row = m_Fleet.row(Index);
     LeftOut Why = m_Fleet.leftOut(Row, Now);
-    bool Usable =
-        Why == LeftOut::No || (Why == LeftOut::Failing && TakeFailing);
+    bool Weak = Why == LeftOut::Failing || Why == LeftOut::Suspect;
+    bool Usable = Why == LeftOut::No || (Weak && TakeFailing);
     bool Tried = std::find(Request.m_Tried.begin(), Request.m_Tried.end(),
                            Index) != Request.m_Tried.end();
     if (!Usable || Tried || !allowed(Request, Row))
@@ -461,7 +464,8 @@
       Seen.insert(Row.m_Listing.m_Region);
       LeftOut Why = m_Fleet.leftOut(Row, Now);
       if (Why == LeftOut::Leaving || Why == LeftOut::Evacuated ||
-          Why == LeftOut::Unreachable)
+          Why == LeftOut::Replaced || Why == LeftOut::Unreachable ||
+          Why == LeftOut::Suspect)
         continue;
       bool Home = Row.m_Listing.m_Region == m_Region;
       (Home ? Load.m_HomeSlots : Load.m_AwaySlots) += Row.m_Listing.m_Slots;
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -8,9 +8,9 @@
 namespace rhubarb {
 namespace {
 
-constexpr std::array<std::string_view, 8> LeftOutNames{
-    "no",     "not_listed",  "leaving", "evacuated",
-    "paused", "unreachable", "stalled", "failing"};
+constexpr std::array<std::string_view, 10> LeftOutNames{
+    "no",     "not_listed",  "leaving", "evacuated", "replaced",
+    "paused", "unreachable", "suspect", "stalled",   "failing"};
 
 constexpr std::array<std::string_view, 8> OutcomeNames{
     "served", "failed",      "refused", "misdirected",
@@ -48,8 +48,14 @@
 }
 
 std::string_view healthAnswerName(HealthAnswer Value) {
-  static constexpr std::array<std::string_view, 4> Names{"healthy", "full",
-                                                         "late", "bad"};
+  static constexpr std::array<std::string_view, 5> Names{
+      "healthy", "full", "late", "bad", "replaced"};
+  return Names[static_cast<std::size_t>(Value)];
+}
+
+std::string_view serverNewsKindName(ServerNewsKind Value) {
+  static constexpr std::array<std::string_view, 4> Names{
+      "unreachable", "back", "replaced", "leaving"};
   return Names[static_cast<std::size_t>(Value)];
 }
 
@@ -177,6 +183,8 @@
 void Fleet::heardWish(ServerIndex Index, bool Leaving, Duration LeaveAloneFor,
                       Time Now) {
   BackendRow &Row = mutableRow(Index);
+  if (Leaving && !Row.m_SaidLeaving && !Row.m_Listing.m_Leaving)
+    m_News[Index] = ServerNewsKind::Leaving;
   Row.m_SaidLeaving = Row.m_SaidLeaving || Leaving;
   if (LeaveAloneFor.count() > 0)
     Row.m_PausedUntil = std::max(
@@ -187,6 +195,36 @@
   return std::exchange(m_HighLoads, {});
 }
 
+std::map<ServerIndex, ServerNewsKind> Fleet::takeServerNews() {
+  return std::exchange(m_News, {});
+}
+
+void Fleet::heardNews(ServerIndex Index, ServerNewsKind Kind, Time Now) {
+  BackendRow &Row = mutableRow(Index);
+  switch (Kind) {
+  case ServerNewsKind::Unreachable:
+    Row.m_SuspectUntil = Now + m_Limits.m_SuspectFor;
+    break;
+  case ServerNewsKind::Back:
+    Row.m_SuspectUntil = Time{0};
+    break;
+  case ServerNewsKind::Replaced:
+    Row.m_Replaced = true;
+    break;
+  case ServerNewsKind::Leaving:
+    Row.m_SaidLeaving = true;
+    break;
+  }
+}
+
+// Holds until another start: an address is given on when its server has ended.
+void Fleet::setReplaced(ServerIndex Index) {
+  BackendRow &Row = mutableRow(Index);
+  if (!Row.m_Replaced)
+    m_News[Index] = ServerNewsKind::Replaced;
+  Row.m_Replaced = true;
+}
+
 void Fleet::leaveAlone(BackendRow &Row, Time Now) const {
   if (Now < Row.m_LeftAloneUntil)
     return;
@@ -227,6 +265,7 @@
     return;
   case AttemptOutcome::Unreachable:
     leaveAlone(Row, Now);
+    m_News[Index] = ServerNewsKind::Unreachable;
     return;
   case AttemptOutcome::Silent:
     if (Row.m_LastHeard <= StartedAt) // Otherwise it answers, but slowly.
@@ -247,13 +286,14 @@
     Row.m_LastHeard = Now;
     break;
   case AttemptOutcome::Misdirected:
-    leaveAlone(Row, Now);
+    setReplaced(Index);
     return;
   case AttemptOutcome::Served:
     Row.m_LastHeard = Now;
     Row.m_LeftAlone = Duration{0};
     Row.m_LeftAloneUntil = Time{0};
     Row.m_MustProbe = false;
+    Row.m_SuspectUntil = Time{0};
     if (Report.m_Expected.count() > 0) {
       double Ratio = std::min(MaxSlowness, toMicros(Report.m_Took) /
                                                toMicros(Report.m_Expected));
@@ -270,8 +310,13 @@
                    Time Now) {
   BackendRow &Row = mutableRow(Index);
   Row.m_LeftAloneUntil = Time{0};
+  if (Answer == HealthAnswer::Replaced) {
+    setReplaced(Index);
+    return;
+  }
   if (Answer == HealthAnswer::Bad) {
     leaveAlone(Row, Now);
+    m_News[Index] = ServerNewsKind::Unreachable;
     return;
   }
   if (Answer == HealthAnswer::Late) {
@@ -279,9 +324,12 @@
     leaveAlone(Row, Now);
     return;
   }
+  if (Row.m_MustProbe)
+    m_News[Index] = ServerNewsKind::Back;
   Row.m_LastHeard = Now;
   Row.m_LeftAlone = Duration{0};
   Row.m_MustProbe = false;
+  Row.m_SuspectUntil = Time{0};
   if (ColdLeft.count() > 0)
     Row.m_ColdUntil = std::max(Row.m_ColdUntil, Now + ColdLeft);
 }
@@ -306,10 +354,14 @@
     return LeftOut::Leaving;
   if (Row.m_Evacuated)
     return LeftOut::Evacuated;
+  if (Row.m_Replaced)
+    return LeftOut::Replaced;
   if (Now < Row.m_PausedUntil)
     return LeftOut::Paused;
   if (Row.m_MustProbe)
     return LeftOut::Unreachable;
+  if (Now < Row.m_SuspectUntil)
+    return LeftOut::Suspect;
   if (isStalled(Row, Now))
     return LeftOut::Stalled;
   if (Row.m_Failing > m_Limits.m_FailingShare &&
--- a/net/PlaceTold.cpp
+++ b/net/PlaceTold.cpp
@@ -9,9 +9,11 @@
 using Json::Value;
 
 // A hash takes up to 20 digits and a comma, an id some 12 characters: so many
-// of both fit into a datagram.
-constexpr std::size_t ObjectsPerDatagram = 30;
-constexpr std::size_t LoadsPerDatagram = 35;
+// of both fit into a datagram, with the VMs that it is to be passed on to.
+constexpr std::size_t ObjectsPerDatagram = 18;
+constexpr std::size_t LoadsPerDatagram = 27;
+constexpr std::size_t ServersPerDatagram = 20;
+constexpr int ServerNewsKinds = 4;
 
 } // namespace
 
@@ -91,4 +93,60 @@
   return Loads;
 }
 
+std::vector<std::string> serversTexts(const ServersTold &Servers) {
+  std::vector<std::string> Texts;
+  Value Message(Json::arrayValue);
+  for (const auto &[Id, News] : Servers) {
+    if (Message.empty())
+      Message.append(SchemaVersion);
+    Value Row(Json::arrayValue);
+    Row.append(Id);
+    Row.append(static_cast<Json::Int64>(News.m_Born));
+    Row.append(static_cast<int>(News.m_Kind));
+    Message.append(std::move(Row));
+    if (Message.size() <= ServersPerDatagram)
+      continue;
+    Texts.push_back(encodeNotification("servers", Message));
+    Message = Value(Json::arrayValue);
+  }
+  if (!Message.empty())
+    Texts.push_back(encodeNotification("servers", Message));
+  return Texts;
+}
+
+ServersTold readServers(const Value &Json) {
+  requireArray(Json, 1);
+  ServersTold Servers;
+  for (Json::ArrayIndex I = 1; I < Json.size(); ++I) {
+    requireArray(Json[I], 3);
+    int Kind = Json[I][2].asInt();
+    if (Kind >= 0 && Kind < ServerNewsKinds)
+      Servers[Json[I][0].asString()] = {Json[I][1].asInt64(),
+                                        static_cast<ServerNewsKind>(Kind)};
+  }
+  return Servers;
+}
+
+std::string passOnText(const std::string &Text,
+                       const std::vector<std::string> &PassOnTo) {
+  Value Message(Json::arrayValue);
+  Message.append(SchemaVersion);
+  Value Targets(Json::arrayValue);
+  for (const std::string &Vm : PassOnTo)
+    Targets.append(Vm);
+  Message.append(std::move(Targets));
+  Message.append(Text);
+  return encodeNotification("pass", Message);
+}
+
+PassedOn readPassedOn(const Value &Json) {
+  requireArray(Json, 3);
+  requireArray(Json[1], 0);
+  PassedOn Read;
+  for (const Value &Vm : Json[1])
+    Read.m_PassOnTo.push_back(Vm.asString());
+  Read.m_Text = Json[2].asString();
+  return Read;
+}
+
 } // namespace rhubarb::net
--- a/net/PlaceTold.h
+++ b/net/PlaceTold.h
@@ -1,5 +1,5 @@
 // News of one node to those of its region: which backend servers have run which
-// objects lately, and which are under high load.
+// objects lately, which are under high load, and which cannot be used.
 #pragma once
 
 #include "rhubarb/Fleet.h"
@@ -30,4 +30,28 @@
 // Reads one; throws Json::Exception for a message of the wrong shape.
 LoadsTold readLoads(const Json::Value &Json, Time Now);
 
+// What one node has found out about a start of a server.
+struct ServerTold {
+  std::int64_t m_Born = 0; // As listed.
+  ServerNewsKind m_Kind = ServerNewsKind::Unreachable;
+};
+using ServersTold = std::map<std::string, ServerTold>; // By id.
+
+// Returns notifications that fit into a datagram each.
+std::vector<std::string> serversTexts(const ServersTold &Servers);
+// Reads one; throws Json::Exception for a message of the wrong shape. Kinds that
+// are not known are left out.
+ServersTold readServers(const Json::Value &Json);
+
+// Wraps a notification for a node that is to take it and pass it on to others.
+std::string passOnText(const std::string &Text,
+                       const std::vector<std::string> &PassOnTo);
+// What such a wrapped message holds.
+struct PassedOn {
+  std::vector<std::string> m_PassOnTo;
+  std::string m_Text;
+};
+// Reads one; throws Json::Exception for a message of the wrong shape.
+PassedOn readPassedOn(const Json::Value &Json);
+
 } // namespace rhubarb::net
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -26,6 +26,7 @@
 // Share of the retry budget that this fleet uses; the rest covers windows in
 // which the shares of the VMs do not add up.
 constexpr double RetryShareUsed = 0.6;
+constexpr double RetryShareSaved = 0.3;
 constexpr double RetrySlackUsed = 0.4;
 // Before callers come, and while idle connections end by themselves.
 constexpr Duration CallerIdleMargin = 2s;
@@ -101,6 +102,16 @@
                           takePlaces(Params);
                           return Json::Value();
                         });
+  m_Rpc.addNotification("servers",
+                        [this](const Json::Value &Params, const std::string &) {
+                          takeServers(Params);
+                          return Json::Value();
+                        });
+  m_Rpc.addNotification(
+      "pass", [this](const Json::Value &Params, const std::string &PeerIp) {
+        takePassedOn(Params, PeerIp);
+        return Json::Value();
+      });
   m_Rpc.addNotification("loads",
                         [this](const Json::Value &Params, const std::string &) {
                           takeLoads(Params);
@@ -323,9 +334,11 @@
                                 const BackendListing &Server) const {
   if (Got.m_Failure == HttpFailure::Timeout)
     return HealthAnswer::Late;
-  if (Got.m_Failure != HttpFailure::None ||
-      Got.m_Response.header(m_Names.m_ServerId) != Server.m_Id)
+  if (Got.m_Failure != HttpFailure::None)
     return HealthAnswer::Bad;
+  std::string_view Id = Got.m_Response.header(m_Names.m_ServerId);
+  if (Id != Server.m_Id)
+    return Id.empty() ? HealthAnswer::Bad : HealthAnswer::Replaced;
   if (Got.m_Response.m_Status == 200)
     return HealthAnswer::Healthy;
   bool Full = Got.m_Response.m_Status == 503 &&
@@ -365,6 +378,12 @@
     m_Dispatcher.fleet().heardWish(Index, Wish.m_Leaving, Wish.m_LeaveAloneFor,
                                    now());
   }
+  // A connection that is neither made nor refused: its machine is gone, and the
+  // requests there would wait for their whole time.
+  bool Dark = Got.m_Failure == HttpFailure::Connect &&
+              Got.m_ConnectTook >= BackendConnect;
+  if (Dark || Answer == HealthAnswer::Replaced)
+    endAttemptsAt(Index, Dark);
   m_Dispatcher.fleet().probed(Index, Answer,
                               std::chrono::milliseconds(ColdMillis), now());
 }
@@ -391,6 +410,7 @@
     return Found->second;
   RetryLimits Limits;
   Limits.m_Share = m_Settings.m_RetryShare * RetryShareUsed;
+  Limits.m_SavedShare = m_Settings.m_RetryShare * RetryShareSaved;
   double Vms = std::max<double>(4, static_cast<double>(m_KnownVms.size()) + 1);
   Limits.m_MaxSaved =
       std::max(2.0, m_Settings.m_RetrySlack * RetrySlackUsed / Vms);
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -74,7 +74,8 @@
   Time m_CallerDeadline{0};
   Time m_RunUntil{0}; // A server may work on it until then.
   HttpRequest m_Request;
-  std::shared_ptr<Cancellation> m_Cancel;
+  std::shared_ptr<Cancellation> m_Cancel; // By the caller's close.
+  std::shared_ptr<Cancellation> m_CancelAttempt; // Also by the server's end.
   Placement m_Placed;
   std::unique_ptr<boost::asio::steady_timer> m_Turn; // While it waits.
   Duration m_Waited{0};                              // For its turn, in all.
@@ -171,6 +172,9 @@
   asio::awaitable<HttpResponse> run(ExchangePtr Work);
   asio::awaitable<void> place(ExchangePtr Work);
   asio::awaitable<AttemptVerdict> attempt(ExchangePtr Work);
+  // Ends the attempts at a server that has gone: idempotent requests go
+  // elsewhere, the others are answered.
+  void endAttemptsAt(ServerIndex Index, bool IdempotentOnly);
   void countWishes(const BackendListing &Server,
                    const AttemptReport &Report) const;
   void judge(Exchange &Work, HttpResult &Got, AttemptVerdict &Verdict) const;
@@ -219,10 +223,13 @@
   ListNews ownNews(std::vector<ListedRow> Rows) const;
   void sendNews();
   std::vector<RelayGroup> newsGroups();
-  void passOn(const Json::Value &Params, const ListNews &News);
   bool hasNewsLeft() const { return m_ToldChange < m_List.changes(); }
   void tellRegion();
   void tellServers();
+  std::vector<std::string> placesAndLoads();
+  void sendToAll(const std::vector<std::string> &Vms, const std::string &Text);
+  void takeServers(const Json::Value &Params);
+  void takePassedOn(const Json::Value &Params, const std::string &PeerIp);
   void takePlaces(const Json::Value &Params);
   void takeLoads(const Json::Value &Params);
   void applyList();
@@ -272,11 +279,11 @@
   std::uint64_t m_ToldChange = 0; // Of the list; later ones are not yet told.
   bool m_ListIsCurrent = false;   // The control plane has told all, once.
   Time m_ServersToldAt{0};
-  std::size_t m_NextTold = 0; // Of the region's VMs, who hears of servers next.
   bool m_ReadFailing = false; // The control plane does not answer this VM.
   std::set<std::string> m_Evacuated;
   std::uint64_t m_EvacuatedRevision = 0;
   std::unordered_map<RequestId, ExchangePtr> m_WaitingWork;
+  std::unordered_multimap<ServerIndex, ExchangePtr> m_Attempts;
   std::unordered_map<int, RetryBudget> m_Budgets; // By pool.
   std::set<ServerIndex> m_Probing;
   std::map<std::string, LeftOut> m_LoggedServers; // By id.
@@ -287,6 +294,7 @@
   Time m_LastTick{0};
   Time m_LeavingSince{0};
   bool m_VmsListed = false; // The control plane has named the other VMs.
+  bool m_TakingPassedOn = false;
   bool m_Leaving = false;
   bool m_Stopped = false;
   bool m_FetchingConfig = false;
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -28,9 +28,9 @@
 constexpr Duration PeerConfigPause = 500ms;
 // With more VMs, heartbeats go to some and are relayed by them.
 constexpr std::size_t MaxDirectPeers = 16;
-// VMs of the region that hear of servers, and how often: in larger regions more
-// seldom, so that what each VM receives does not grow with the region.
-constexpr std::size_t MaxToldOfServers = 32;
+// How often the region hears of places and loads: in larger regions more seldom,
+// so that what each VM receives does not grow with the region.
+constexpr std::size_t VmsPerPause = 40;
 constexpr Duration ServersPause = 200ms;
 // Changes are told again for this long, so that a lost datagram does no harm.
 constexpr Duration NewsRepeated = 2s;
@@ -340,26 +340,39 @@
   }
 }
 
-// Passes news on to the VMs that its sender named.
-void Node::passOn(const Json::Value &Params, const ListNews &News) {
-  if (News.m_PassOnTo.empty())
-    return;
-  std::string Text = listNewsText(Params, News.m_Origin);
-  std::size_t Left = MaxPassedOnTo;
-  for (const std::string &Vm : News.m_PassOnTo)
-    if (m_KnownVms.contains(Vm) && Left-- > 0)
-      m_Datagrams.send(Vm, m_Settings.m_PeerPort, Text);
-}
-
 // Tells the region which servers have run which objects, so that no other
-// process runs them cold elsewhere, and which are full, so that not all of them
-// send there at once.
+// process runs them cold elsewhere, which are full, so that not all of them send
+// there at once, and which cannot be used.
 void Node::tellServers() {
-  std::vector<std::string> Live = liveInRegion();
-  auto Times = static_cast<std::int64_t>(1 + Live.size() / MaxToldOfServers);
-  if (now() - m_ServersToldAt < ServersPause * Times)
+  const Fleet &Servers = m_Dispatcher.fleet();
+  ServersTold News;
+  for (const auto &[Index, Kind] : m_Dispatcher.fleet().takeServerNews()) {
+    const BackendRow &Row = Servers.row(Index);
+    if (!Row.m_Listed)
+      continue;
+    News[Row.m_Listing.m_Id] = {Row.m_Listing.m_Born, Kind};
+    logEvent(Severity::Info, "server_news_told",
+             {{"server", Row.m_Listing.m_Id},
+              {"kind", std::string(serverNewsKindName(Kind))}});
+  }
+  std::vector<std::string> Texts = serversTexts(News);
+  auto Times = static_cast<std::int64_t>(1 + regionSize() / VmsPerPause);
+  if (now() - m_ServersToldAt >= ServersPause * Times) {
+    m_ServersToldAt = now();
+    for (std::string &Text : placesAndLoads())
+      Texts.push_back(std::move(Text));
+  }
+  if (Texts.empty())
     return;
-  m_ServersToldAt = now();
+  std::vector<RelayGroup> Groups = newsGroups();
+  for (const std::string &Text : Texts)
+    for (const RelayGroup &Group : Groups)
+      m_Datagrams.send(Group.m_First, m_Settings.m_PeerPort,
+                       Group.m_Rest.empty() ? Text
+                                            : passOnText(Text, Group.m_Rest));
+}
+
+std::vector<std::string> Node::placesAndLoads() {
   const Fleet &Servers = m_Dispatcher.fleet();
   PlacesTold Places;
   for (const PlaceNews &News : m_Dispatcher.takePlaceNews()) {
@@ -374,18 +387,38 @@
   std::vector<std::string> Texts = placesTexts(Places);
   for (std::string &Text : loadsTexts(Loads, now()))
     Texts.push_back(std::move(Text));
-  if (Texts.empty())
-    return;
-  // Which ones hear it rotates.
-  std::size_t Count = std::min(Live.size(), MaxToldOfServers);
-  for (std::size_t I = 0; I < Count; ++I) {
-    const std::string &Vm = Live[(m_NextTold + I) % Live.size()];
-    if (Vm == m_Settings.m_Ip)
-      continue;
-    for (const std::string &Text : Texts)
-      m_Datagrams.send(Vm, m_Settings.m_PeerPort, Text);
+  return Texts;
+}
+
+void Node::takeServers(const Json::Value &Params) {
+  for (const auto &[Id, News] : readServers(Params)) {
+    ServerIndex Index = m_Dispatcher.fleet().find(Id);
+    if (Index != NoServer &&
+        m_Dispatcher.fleet().row(Index).m_Listing.m_Born == News.m_Born) {
+      m_Dispatcher.fleet().heardNews(Index, News.m_Kind, now());
+      if (News.m_Kind == ServerNewsKind::Replaced)
+        endAttemptsAt(Index, false);
+    }
   }
-  m_NextTold += Count;
+}
+
+void Node::takePassedOn(const Json::Value &Params, const std::string &PeerIp) {
+  if (m_TakingPassedOn)
+    return; // No node wraps a message that is wrapped already.
+  PassedOn Got = readPassedOn(Params);
+  sendToAll(Got.m_PassOnTo, Got.m_Text);
+  m_TakingPassedOn = true;
+  m_Rpc.handle(Got.m_Text, PeerIp); // Does not throw.
+  m_TakingPassedOn = false;
+}
+
+// Sends to VMs that a peer has named: only to known ones, and not to many.
+void Node::sendToAll(const std::vector<std::string> &Vms,
+                     const std::string &Text) {
+  std::size_t Left = MaxPassedOnTo;
+  for (const std::string &Vm : Vms)
+    if (m_KnownVms.contains(Vm) && Left-- > 0)
+      m_Datagrams.send(Vm, m_Settings.m_PeerPort, Text);
 }
 
 void Node::takeLoads(const Json::Value &Params) {
@@ -408,7 +441,8 @@
 
 void Node::takeListNews(const Json::Value &Params, const std::string &PeerIp) {
   ListNews News = readListNews(Params, now());
-  passOn(Params, News);
+  if (!News.m_PassOnTo.empty())
+    sendToAll(News.m_PassOnTo, listNewsText(Params, News.m_Origin));
   const std::string &Origin = News.m_Origin.empty() ? PeerIp : News.m_Origin;
   bool ToldAll = !hasNewsLeft();
   applyListNews(News);
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -172,7 +172,7 @@
   }
   Item.m_Pool =
       Found->m_Targets[m_Splitter.choose(*Found, Item.m_Object)].m_Pool;
-  budget(Item.m_Pool).firstTry();
+  budget(Item.m_Pool).firstTry(Item.m_Arrived);
 
   Work->m_Cancel = std::make_shared<Cancellation>();
   std::shared_ptr<CallerWatch> Watch = Work->m_Request.m_Caller;
@@ -279,7 +279,10 @@
   Work->m_LastServer = Server.m_Id;
   Time StartedAt = now();
   SendOptions Options;
-  Options.m_Cancel = Work->m_Cancel;
+  Work->m_CancelAttempt = std::make_shared<Cancellation>();
+  Options.m_Cancel = Work->m_CancelAttempt;
+  Work->m_Cancel->onCancel(
+      [Token = Work->m_CancelAttempt] { Token->cancel(); });
   std::string Id = Work->m_TraceId;
   std::string IdName = m_Names.m_RequestId;
   Options.m_Matches = [Id, IdName](const HttpResponse &Response) {
@@ -288,9 +291,13 @@
   HttpRequest Request = forServer(*Work);
   bool Streaming = Request.m_Rest != nullptr;
   ++Work->m_Tries;
+  auto Listed = m_Attempts.emplace(Index, Work);
   HttpResult Got = co_await m_Backends.send(
       Server.m_Address, std::move(Request), Work->m_RunUntil + AnswerSlack,
       std::move(Options));
+  m_Attempts.erase(Listed);
+  if (Got.m_Failure == HttpFailure::Cancelled && !Work->m_Cancel->cancelled())
+    Got.m_Failure = HttpFailure::Cut; // The server has gone.
   if (Streaming && Got.m_Failure != HttpFailure::Connect)
     Work->m_Tries = MaxTries; // Its body is gone.
   if (Got.m_Failure != HttpFailure::Connect)
@@ -302,6 +309,8 @@
   m_Dispatcher.finished(Work->m_Dispatch, Work->m_Placed, Verdict.m_Report,
                         StartedAt, now());
   countWishes(Server, Verdict.m_Report);
+  if (Verdict.m_Report.m_Outcome == AttemptOutcome::Misdirected)
+    endAttemptsAt(Index, false);
   if (Verdict.m_Report.m_Outcome == AttemptOutcome::Unreachable)
     m_Backends.forget(Server.m_Address);
   Work->m_Dispatch.m_Tried.push_back(Index);
@@ -309,6 +318,21 @@
   co_return Verdict;
 }
 
+void Node::endAttemptsAt(ServerIndex Index, bool IdempotentOnly) {
+  std::vector<ExchangePtr> Ended;
+  auto [First, Last] = m_Attempts.equal_range(Index);
+  for (auto Entry = First; Entry != Last; ++Entry)
+    if (!IdempotentOnly || Entry->second->m_Idempotent)
+      Ended.push_back(Entry->second);
+  for (const ExchangePtr &Work : Ended) {
+    logEvent(Severity::Info, "attempt_ended",
+             {{"id", Work->m_TraceId},
+              {"server", Work->m_LastServer},
+              {"cause", IdempotentOnly ? "unreachable" : "replaced"}});
+    Work->m_CancelAttempt->cancel();
+  }
+}
+
 // Counts and logs what a server asks of this process.
 void Node::countWishes(const BackendListing &Server,
                        const AttemptReport &Report) const {
