--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -148,7 +148,8 @@
   };
   bool allowed(const DispatchRequest &Request, const BackendRow &Row) const;
   bool mostlyLeftOut(int Pool, Time Now) const;
-  std::vector<Candidate> rank(const DispatchRequest &Request, Time Now) const;
+  std::vector<Candidate> rank(const DispatchRequest &Request, Time Now);
+  std::vector<Candidate> usable(const DispatchRequest &Request, Time Now);
   bool mayAdopt(ServerIndex Index, ServerIndex KnownAt, Time Now) const;
   std::optional<Placement> bestOf(const DispatchRequest &Request,
                                   const std::vector<Candidate> &Ranked,
@@ -159,6 +160,7 @@
   bool hasRoom(ServerIndex Index, int Rank, Time Now);
   bool hasSpare(ServerIndex Index, Time Now) const;
   double coldTokens(ServerIndex Index, Time Now);
+  bool mayWarmUp(ServerIndex Index, Time Now);
   bool knows(ServerIndex Index, std::uint64_t Object, Time Now) const;
   Duration predictedWait(const DispatchRequest &Request,
                          const std::vector<Candidate> &Ranked, Time Now) const;
@@ -185,6 +187,8 @@
   struct ColdBucket {
     double m_Tokens = 1;
     Time m_Filled{0};
+    double m_Pace = 0;
+    Time m_PaceAt{0}; // When the pace was asked for.
   };
   std::unordered_map<ServerIndex, ColdBucket> m_Cold;
   std::function<double(const BackendListing &)> m_ColdPace;
--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -40,7 +40,7 @@
 // all VMs together stay under PerSecond without a message between them. Vms are
 // those that may send; each VM must know about the same ones.
 double coldShare(const std::string &ServerId, const std::string &Self,
-                 std::vector<std::string> Vms, double PerSecond);
+                 const std::vector<std::string> &Vms, double PerSecond);
 
 // How an attempt on a shared server ended.
 enum class AttemptOutcome : std::uint8_t {
@@ -63,17 +63,17 @@
   Duration m_Expected{0}; // What it should have taken; 0: not known.
   bool m_HasLoad = false;
   ReportedLoad m_Load;
-  bool m_Leaving = false;     // The server says that it leaves.
+  bool m_Leaving = false;      // The server says that it leaves.
   Duration m_LeaveAloneFor{0}; // The server wants nothing for so long.
-  Duration m_ConnectTook{0}; // Of a new connection; 0: an old one was used.
+  Duration m_ConnectTook{0};   // Of a new connection; 0: an old one was used.
 };
 
 // How a health request ended. It waits for a slot like any other request.
 enum class HealthAnswer : std::uint8_t {
   Healthy,
-  Full, // The server is alive, and refused it for want of room.
-  Late, // The server took the connection and did not answer in time.
-  Bad,  // Not reached, or another answer.
+  Full,     // The server is alive, and refused it for want of room.
+  Late,     // The server took the connection and did not answer in time.
+  Bad,      // Not reached, or another answer.
   Replaced, // Another server answered.
 };
 std::string_view healthAnswerName(HealthAnswer Value);
@@ -93,6 +93,8 @@
   // For so long nothing is sent to a server that others could not reach; they
   // say so again while it goes on.
   Duration m_SuspectFor = 5s;
+  // Others are not believed about a server that answered this lately.
+  Duration m_OwnWordFor = 1s;
   // A server with work under way counts as stalled when it has been silent for
   // all of these: this long, several times the pace at which its answers should
   // come, and somewhat longer than the longest of them should take.
@@ -121,10 +123,11 @@
   double m_Failing = 0;  // Share of recent requests that failed.
   Time m_LastHeard{0};
   Time m_LastTrial{0};
-  Time m_PausedUntil{0};     // Its own wish.
+  Time m_PausedUntil{0};      // Its own wish.
   bool m_SaidLeaving = false; // In an answer; holds until another start.
   bool m_Replaced = false;    // The same.
   Time m_SuspectUntil{0};     // Others say that it cannot be reached.
+  Time m_AnsweredAt{0};       // To this process.
   Time m_LeftAloneUntil{0};
   Duration m_LeftAlone{0};
   bool m_MustProbe = false; // Was out of reach: a health answer comes first.
@@ -219,8 +222,8 @@
   const BackendRow &row(ServerIndex Index) const {
     return m_Rows[static_cast<std::size_t>(Index)];
   }
-  // Returns when the first paused server of a pool takes work again; 0 when none
-  // is paused.
+  // Returns when the first paused server of a pool takes work again; 0 when
+  // none is paused.
   Duration soonestReturn(int Pool, Time Now) const;
   ServerIndex find(const std::string &Id) const;
   std::size_t size() const { return m_ById.size(); }
@@ -234,6 +237,8 @@
   ServerIndex rowFor(const std::string &Id);
   void leaveAlone(BackendRow &Row, Time Now) const;
   void setReplaced(ServerIndex Index);
+  void setUnreachable(ServerIndex Index, Time Now);
+  void answered(BackendRow &Row, Time Now);
   bool isStalled(const BackendRow &Row, Time Now) const;
   void rebuildPools();
 
@@ -243,8 +248,11 @@
   std::unordered_map<std::string, ServerIndex> m_ById;
   std::vector<std::vector<ServerIndex>> m_Pools;
   std::set<std::string> m_EvacuatedDomains;
-  std::map<ServerIndex, HighLoad> m_HighLoads; // Not yet told to others.
+  std::map<ServerIndex, HighLoad> m_HighLoads;  // Not yet told to others.
   std::map<ServerIndex, ServerNewsKind> m_News; // Not yet told to others.
+  // Of the latest attempts, the share at which servers could not be reached:
+  // from one half on this process may be the one that is cut off.
+  double m_UnreachableShare = 0;
   std::uint64_t m_Generation = 0;
 };
 
--- a/include/rhubarb/Listing.h
+++ b/include/rhubarb/Listing.h
@@ -4,6 +4,7 @@
 
 #include "rhubarb/Fleet.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -44,8 +45,9 @@
   std::vector<BackendListing> entries() const;
   // Changes of the last While, removed entries included.
   std::vector<ListedRow> recent(Duration While, Time Now) const;
-  // Changes with higher numbers than this one, the earliest first.
-  std::vector<ListedRow> changedAfter(std::uint64_t Change) const;
+  // Changes with higher numbers than this one, the earliest first: of servers
+  // that leave or have gone, or of all others.
+  std::vector<ListedRow> changedAfter(std::uint64_t Change, bool Gone) const;
   std::vector<ListedRow> all() const;
 
 private:
@@ -58,4 +60,28 @@
   std::uint64_t m_Changes = 0;
 };
 
+// Which changes of a book have been told to others. Answers the pattern in
+// which hundreds of servers come while some leave: those that leave are told
+// first.
+class TellingMark {
+public:
+  // Returns the changes that are left to tell, in the order in which to tell.
+  // Before them go those that were told in the last Repeat, if servers left:
+  // a lost message must not hide them.
+  std::vector<ListedRow> left(const ListingBook &Book, Duration Repeat,
+                              Time Now) const;
+  // Records that so many of them have been told.
+  void told(const ListingBook &Book, const std::vector<ListedRow> &Left,
+            std::size_t Count);
+  // Records that others know all.
+  void allTold(const ListingBook &Book) { m_Gone = m_Others = Book.changes(); }
+  bool hasLeft(const ListingBook &Book) const {
+    return std::min(m_Gone, m_Others) < Book.changes();
+  }
+
+private:
+  std::uint64_t m_Gone = 0; // Number of the last change told, by kind.
+  std::uint64_t m_Others = 0;
+};
+
 } // namespace rhubarb
--- a/include/rhubarb/Readers.h
+++ b/include/rhubarb/Readers.h
@@ -50,6 +50,8 @@
   // Takes news of a VM that goes before this one; it was complete Age ago. Such
   // a VM reads even if this one does not know yet that it lives.
   void heard(Duration Age, Time Now);
+  // Takes such news that tells a part of the changes: the rest follows.
+  void heardPart(Duration Age, Time Now);
   // Takes up to which revision of the control plane another VM knows all.
   void told(std::uint64_t Revision, Time Now);
   // Takes up to which revision this VM knows all. An answer of the control
@@ -78,6 +80,7 @@
 private:
   Duration m_Bound;
   Time m_StartedAt{0};
+  Time m_PartAt{0};  // Last news that told a part.
   Time m_HeardAt{0}; // Last news from a VM that goes before this one.
   std::uint64_t m_Told = 0;
   std::uint64_t m_Complete = 0;
--- a/include/rhubarb/Relays.h
+++ b/include/rhubarb/Relays.h
@@ -1,6 +1,7 @@
 // How a reader's news reaches its region. Answers the pattern in which a region
-// has a hundred VMs: sent to each of them, news would fill the reader's link and
-// take its processor. Some VMs of each failure domain get it and pass it on.
+// has a hundred VMs: sent to each of them, news would fill the reader's link
+// and take its processor. Some VMs of each failure domain get it and pass it
+// on.
 #pragma once
 
 #include "rhubarb/Types.h"
@@ -15,7 +16,7 @@
 struct RelayTarget {
   std::string m_Vm;
   std::string m_Domain;
-  bool m_Live = false; // Only such a one may pass on.
+  bool m_Live = false; // Passes on rather than those not heard of yet.
 };
 
 // The first one gets the news and passes it on to the rest.
@@ -29,11 +30,17 @@
 // Most VMs that one VM passes on to.
 inline constexpr std::size_t MaxPassedOnTo = 24;
 
-// Splits a region's VMs into groups within failure domains, about as many as a
-// group has members. Who passes on changes with each round, so that a VM that
-// died unnoticed costs its group one round.
+// How large the groups are.
+enum class RelayShape : std::uint8_t {
+  Even, // As many groups as one has members: the work is spread.
+  Wide, // As few groups as possible: least bytes between failure domains.
+};
+
+// Splits a region's VMs into groups within failure domains. Who passes on
+// changes with each round, so that a VM that died unnoticed costs its group one
+// round.
 std::vector<RelayGroup> relayGroups(std::vector<RelayTarget> Vms,
-                                    std::uint64_t Round);
+                                    std::uint64_t Round, RelayShape Shape);
 
 // Returns how many bytes of news go to each of so many VMs at a time, so that
 // the sender's link stays free for other traffic.
--- a/include/rhubarb/Retry.h
+++ b/include/rhubarb/Retry.h
@@ -14,7 +14,7 @@
   double m_MaxSaved = 10.0; // Retries that a quiet time can save up.
   double m_SavedShare = 0;  // And further ones, by first tries of a window.
   Duration m_Window = 10s;
-  double m_AtStart = 3.0;   // So that the very first calls can be retried.
+  double m_AtStart = 3.0; // So that the very first calls can be retried.
 };
 
 // Token bucket filled by first tries, emptied by retries.
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -14,6 +14,7 @@
 constexpr double ColdWaste = 0.5;    // Weight of slot time lost to a cold run.
 constexpr double LeastWeight = 1e-9; // Of a server that should get none.
 constexpr Duration PruneEvery = 2s;
+constexpr Duration ColdPaceKept = 1s; // VMs come and go more slowly.
 constexpr double RetryAfterObjective = 0.25;
 constexpr double RetryAfterShareOfLeft = 1.0 / 3; // What callers honour.
 
@@ -64,9 +65,9 @@
                    Row.m_Listing.m_Region) != Request.m_Regions.end();
 }
 
-// Whether failures, or what others say, leave out more than half of a pool: then
-// the cause is not in single servers, and leaving them out would only overload
-// the rest.
+// Whether failures, or what others say, leave out more than half of a pool:
+// then the cause is not in single servers, and leaving them out would only
+// overload the rest.
 bool Dispatcher::mostlyLeftOut(int Pool, Time Now) const {
   int Total = 0;
   int Failing = 0;
@@ -83,15 +84,15 @@
   return Failing * 2 > Total;
 }
 
-// Orders the servers by weighted rendezvous hashing for the request's object.
-// The weights of the home region and of all others add up to the shares of the
-// work that are to run there.
+// Returns the servers that may get the request. Answers the pattern in which
+// many servers come at once: while they are cold few processes may send to one,
+// and what waits for the others' turn would be refused beside free slots. Their
+// objects run elsewhere meanwhile, unless hardly another server is left.
 std::vector<Dispatcher::Candidate>
-Dispatcher::rank(const DispatchRequest &Request, Time Now) const {
-  std::vector<Candidate> Ranked;
+Dispatcher::usable(const DispatchRequest &Request, Time Now) {
+  std::vector<Candidate> Found;
+  std::vector<Candidate> Cold;
   bool TakeFailing = mostlyLeftOut(Request.m_Pool, Now);
-  double HomeSlots = 0;
-  double AwaySlots = 0;
   for (ServerIndex Index : m_Fleet.ofPool(Request.m_Pool)) {
     const BackendRow &Row = m_Fleet.row(Index);
     LeftOut Why = m_Fleet.leftOut(Row, Now);
@@ -101,9 +102,24 @@
                            Index) != Request.m_Tried.end();
     if (!Usable || Tried || !allowed(Request, Row))
       continue;
-    bool Home = Row.m_Listing.m_Region == m_Region;
-    (Home ? HomeSlots : AwaySlots) += Row.m_Listing.m_Slots;
-    Ranked.push_back({Index, 0});
+    (mayWarmUp(Index, Now) ? Found : Cold).push_back({Index, 0});
+  }
+  if (Found.size() < static_cast<std::size_t>(m_Limits.m_Candidates))
+    Found.insert(Found.end(), Cold.begin(), Cold.end());
+  return Found;
+}
+
+// Orders the servers by weighted rendezvous hashing for the request's object.
+// The weights of the home region and of all others add up to the shares of the
+// work that are to run there.
+std::vector<Dispatcher::Candidate>
+Dispatcher::rank(const DispatchRequest &Request, Time Now) {
+  std::vector<Candidate> Ranked = usable(Request, Now);
+  double HomeSlots = 0;
+  double AwaySlots = 0;
+  for (const Candidate &Entry : Ranked) {
+    const BackendListing &Server = m_Fleet.row(Entry.m_Server).m_Listing;
+    (Server.m_Region == m_Region ? HomeSlots : AwaySlots) += Server.m_Slots;
   }
   double Away = HomeSlots > 0 ? m_Spill.share(Request.m_Pool) : 1;
   for (Candidate &Entry : Ranked) {
@@ -143,9 +159,18 @@
   m_Places.heard(Object, Index, m_Fleet.row(Index).m_Incarnation, Now);
 }
 
+bool Dispatcher::mayWarmUp(ServerIndex Index, Time Now) {
+  return !m_Fleet.isCold(m_Fleet.row(Index), Now) ||
+         coldTokens(Index, Now) >= 1;
+}
+
 double Dispatcher::coldTokens(ServerIndex Index, Time Now) {
-  double Pace = m_ColdPace ? m_ColdPace(m_Fleet.row(Index).m_Listing) : 1.0;
   ColdBucket &Bucket = m_Cold[Index];
+  if (Bucket.m_PaceAt.count() == 0 || Now - Bucket.m_PaceAt >= ColdPaceKept) {
+    Bucket.m_Pace = m_ColdPace ? m_ColdPace(m_Fleet.row(Index).m_Listing) : 1.0;
+    Bucket.m_PaceAt = Now;
+  }
+  double Pace = Bucket.m_Pace;
   double Seconds = toMicros(Now - Bucket.m_Filled) / 1e6;
   Bucket.m_Tokens = Pace <= 0 ? 0
                               : std::min(std::max(1.0, Pace / 2),
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -18,6 +18,8 @@
 
 constexpr double SlownessWeight = 0.15; // Of one measurement.
 constexpr double MaxSlowness = 20;
+constexpr double ReachWeight = 0.05; // Of one attempt.
+constexpr double MostUnreachable = 0.5;
 // A server that asks for more is asked again after this time.
 constexpr Duration MostPause = 60s;
 // VMs that send to one cold server, and the part of what it tolerates that they
@@ -30,15 +32,17 @@
 } // namespace
 
 double coldShare(const std::string &ServerId, const std::string &Self,
-                 std::vector<std::string> Vms, double PerSecond) {
+                 const std::vector<std::string> &Vms, double PerSecond) {
   std::uint64_t Seed = stableHash(ServerId);
-  std::sort(Vms.begin(), Vms.end(),
-            [&](const std::string &A, const std::string &B) {
-              return stableHash(A, Seed) > stableHash(B, Seed);
-            });
+  std::uint64_t Own = stableHash(Self, Seed);
+  std::size_t Before = 0;
+  bool Known = false;
+  for (const std::string &Vm : Vms) {
+    Known = Known || Vm == Self;
+    Before += stableHash(Vm, Seed) > Own ? 1 : 0;
+  }
   std::size_t Senders = std::min(ColdSenders, Vms.size());
-  auto End = Vms.begin() + static_cast<std::ptrdiff_t>(Senders);
-  if (std::find(Vms.begin(), End, Self) == End)
+  if (!Known || Before >= Senders)
     return 0;
   return PerSecond * ColdShareUsed / static_cast<double>(Senders);
 }
@@ -54,8 +58,8 @@
 }
 
 std::string_view serverNewsKindName(ServerNewsKind Value) {
-  static constexpr std::array<std::string_view, 4> Names{
-      "unreachable", "back", "replaced", "leaving"};
+  static constexpr std::array<std::string_view, 4> Names{"unreachable", "back",
+                                                         "replaced", "leaving"};
   return Names[static_cast<std::size_t>(Value)];
 }
 
@@ -104,8 +108,8 @@
       Row.m_LastHeard = Now;
     }
     Row.m_Listing = Entry;
-    Row.m_Incarnation =
-        stableHash(Entry.m_Id, static_cast<std::uint64_t>(Entry.m_Born));
+    Row.m_Incarnation = stableHash(Entry.m_Id + Entry.m_Address,
+                                   static_cast<std::uint64_t>(Entry.m_Born));
     Row.m_Listed = true;
     Row.m_Evacuated = m_EvacuatedDomains.contains(Entry.m_Domain);
     Row.m_ColdUntil = std::max(Row.m_ColdUntil, Entry.m_ColdUntil);
@@ -203,7 +207,9 @@
   BackendRow &Row = mutableRow(Index);
   switch (Kind) {
   case ServerNewsKind::Unreachable:
-    Row.m_SuspectUntil = Now + m_Limits.m_SuspectFor;
+    if (Row.m_AnsweredAt.count() == 0 ||
+        Now - Row.m_AnsweredAt >= m_Limits.m_OwnWordFor)
+      Row.m_SuspectUntil = Now + m_Limits.m_SuspectFor;
     break;
   case ServerNewsKind::Back:
     Row.m_SuspectUntil = Time{0};
@@ -217,6 +223,21 @@
   }
 }
 
+// Leaves a server alone, and tells others. Answers the pattern in which this
+// process itself is cut off: then it has nothing to tell.
+void Fleet::setUnreachable(ServerIndex Index, Time Now) {
+  m_UnreachableShare += ReachWeight * (1 - m_UnreachableShare);
+  leaveAlone(mutableRow(Index), Now);
+  if (m_UnreachableShare < MostUnreachable)
+    m_News[Index] = ServerNewsKind::Unreachable;
+}
+
+void Fleet::answered(BackendRow &Row, Time Now) {
+  m_UnreachableShare -= ReachWeight * m_UnreachableShare;
+  Row.m_LastHeard = Now;
+  Row.m_AnsweredAt = Now;
+}
+
 // Holds until another start: an address is given on when its server has ended.
 void Fleet::setReplaced(ServerIndex Index) {
   BackendRow &Row = mutableRow(Index);
@@ -264,8 +285,7 @@
   case AttemptOutcome::Abandoned:
     return;
   case AttemptOutcome::Unreachable:
-    leaveAlone(Row, Now);
-    m_News[Index] = ServerNewsKind::Unreachable;
+    setUnreachable(Index, Now);
     return;
   case AttemptOutcome::Silent:
     if (Row.m_LastHeard <= StartedAt) // Otherwise it answers, but slowly.
@@ -275,7 +295,7 @@
   case AttemptOutcome::Cut:
   case AttemptOutcome::Failed:
     Failure = 1;
-    Row.m_LastHeard = Now;
+    answered(Row, Now);
     break;
   case AttemptOutcome::Refused:
     // A full server refuses by right; one with room that refuses is failing.
@@ -283,13 +303,13 @@
         Report.m_HasLoad && Report.m_Load.m_Running >= Report.m_Load.m_Slots
             ? 0
             : 1;
-    Row.m_LastHeard = Now;
+    answered(Row, Now);
     break;
   case AttemptOutcome::Misdirected:
     setReplaced(Index);
     return;
   case AttemptOutcome::Served:
-    Row.m_LastHeard = Now;
+    answered(Row, Now);
     Row.m_LeftAlone = Duration{0};
     Row.m_LeftAloneUntil = Time{0};
     Row.m_MustProbe = false;
@@ -315,8 +335,7 @@
     return;
   }
   if (Answer == HealthAnswer::Bad) {
-    leaveAlone(Row, Now);
-    m_News[Index] = ServerNewsKind::Unreachable;
+    setUnreachable(Index, Now);
     return;
   }
   if (Answer == HealthAnswer::Late) {
@@ -326,7 +345,7 @@
   }
   if (Row.m_MustProbe)
     m_News[Index] = ServerNewsKind::Back;
-  Row.m_LastHeard = Now;
+  answered(Row, Now);
   Row.m_LeftAlone = Duration{0};
   Row.m_MustProbe = false;
   Row.m_SuspectUntil = Time{0};
--- a/lib/Listing.cpp
+++ b/lib/Listing.cpp
@@ -9,6 +9,7 @@
 // What a server says of its time to be cold, less the time that passed, varies
 // by the way of its report.
 constexpr Duration ColdJitter = 250ms;
+constexpr std::size_t MaxRepeated = 16; // Servers that left, told once more.
 
 // Hash of what matters of an entry. The time that it stays cold passes by
 // itself and is left out.
@@ -25,6 +26,10 @@
   return Hash;
 }
 
+bool isGone(const ListedRow &Row) {
+  return Row.m_Removed || Row.m_Listing.m_Leaving;
+}
+
 } // namespace
 
 void ListingBook::store(ListedRow Row) {
@@ -116,11 +121,11 @@
   return Changed;
 }
 
-std::vector<ListedRow>
-ListingBook::changedAfter(std::uint64_t Change) const {
+std::vector<ListedRow> ListingBook::changedAfter(std::uint64_t Change,
+                                                 bool Gone) const {
   std::vector<ListedRow> Changed;
   for (const auto &[Id, Row] : m_Rows)
-    if (Row.m_Change > Change)
+    if (Row.m_Change > Change && isGone(Row) == Gone)
       Changed.push_back(Row);
   std::sort(Changed.begin(), Changed.end(),
             [](const ListedRow &A, const ListedRow &B) {
@@ -129,6 +134,33 @@
   return Changed;
 }
 
+std::vector<ListedRow> TellingMark::left(const ListingBook &Book,
+                                         Duration Repeat, Time Now) const {
+  std::vector<ListedRow> Rows = Book.recent(Repeat, Now);
+  std::erase_if(Rows, [&](const ListedRow &Row) {
+    return !isGone(Row) || Row.m_Change > m_Gone;
+  });
+  if (Rows.size() > MaxRepeated)
+    Rows.resize(MaxRepeated);
+  for (ListedRow &Row : Book.changedAfter(m_Gone, true))
+    Rows.push_back(std::move(Row));
+  for (ListedRow &Row : Book.changedAfter(m_Others, false))
+    Rows.push_back(std::move(Row));
+  return Rows;
+}
+
+void TellingMark::told(const ListingBook &Book,
+                       const std::vector<ListedRow> &Left, std::size_t Count) {
+  if (Count == Left.size()) {
+    allTold(Book);
+    return;
+  }
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::uint64_t &Mark = isGone(Left[I]) ? m_Gone : m_Others;
+    Mark = std::max(Mark, Left[I].m_Change);
+  }
+}
+
 std::vector<ListedRow> ListingBook::all() const {
   std::vector<ListedRow> Rows;
   for (const auto &[Id, Row] : m_Rows)
--- a/lib/Readers.cpp
+++ b/lib/Readers.cpp
@@ -14,8 +14,11 @@
 constexpr double LeastWatchShare = 0.2;
 constexpr double PauseShare = 0.15;
 constexpr double StepInShare = 0.5;
+// While changes come in parts: those of servers that leave come first, and are
+// told several times.
+constexpr double PartsShare = 1.5;
 // After a start, until others have made themselves known.
-constexpr double SettleShare = 0.25;
+constexpr double SettleShare = 0.3;
 // Between one VM that steps in and the next: longer than a read takes.
 constexpr Duration StepInPause = 150ms;
 // News is repeated within this time: a lost datagram costs no read.
@@ -61,6 +64,11 @@
     m_HeardAt = Now;
 }
 
+void ReaderDuty::heardPart(Duration Age, Time Now) {
+  heard(Age, Now);
+  m_PartAt = Now;
+}
+
 void ReaderDuty::told(std::uint64_t Revision, Time Now) {
   if (!lacks()) {
     m_LacksSince = Now;
@@ -93,7 +101,10 @@
     return ReadReason::Reader;
   auto Place = std::min(std::max<std::size_t>(OwnRank, 1), MaxReaders) - 1;
   Duration After = tooOld() + StepInPause * static_cast<std::int64_t>(Place);
-  if ((Heard && Now - m_HeardAt >= After) || Now - KnownAt >= After)
+  bool PartsCome = m_PartAt.count() > 0 && Now - m_PartAt < CatchUpPause;
+  Duration KnownAfter =
+      PartsCome ? std::max(After, scaled(m_Bound, PartsShare)) : After;
+  if ((Heard && Now - m_HeardAt >= After) || Now - KnownAt >= KnownAfter)
     return ReadReason::TooOld;
   return ReadReason::None;
 }
--- a/lib/Relays.cpp
+++ b/lib/Relays.cpp
@@ -9,30 +9,30 @@
 
 // Sent at a time, several times a second; a link of 10 Mbit/s, the smallest
 // VM's, carries 1,250,000 a second.
-constexpr std::size_t NewsBurstBytes = 100'000;
+constexpr std::size_t NewsBurstBytes = 120'000;
 // A socket's buffer takes as much without loss.
 constexpr std::size_t MaxNewsBytes = 16U << 10U;
 
-std::size_t groupSize(std::size_t Vms) {
-  auto Size = static_cast<std::size_t>(
-      std::ceil(std::sqrt(static_cast<double>(Vms))));
+std::size_t groupSize(std::size_t Vms, RelayShape Shape) {
+  if (Shape == RelayShape::Wide)
+    return MaxPassedOnTo;
+  auto Size =
+      static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(Vms))));
   return std::clamp<std::size_t>(Size, 1, MaxPassedOnTo);
 }
 
-// Chooses who passes on; without a live VM all are told directly.
+// Chooses who passes on. In a fleet that has just started hardly a VM has been
+// heard of: then any may have to.
 void addGroup(const std::vector<RelayTarget> &Members, std::uint64_t Round,
               std::vector<RelayGroup> &Groups) {
-  std::vector<std::string> Live;
+  bool Heard = std::any_of(Members.begin(), Members.end(),
+                           [](const RelayTarget &Each) { return Each.m_Live; });
+  std::vector<std::string> Fit;
   for (const RelayTarget &Member : Members)
-    if (Member.m_Live)
-      Live.push_back(Member.m_Vm);
-  if (Live.empty()) {
-    for (const RelayTarget &Member : Members)
-      Groups.push_back({Member.m_Vm, {}});
-    return;
-  }
+    if (Member.m_Live || !Heard)
+      Fit.push_back(Member.m_Vm);
   RelayGroup Group;
-  Group.m_First = Live[Round % Live.size()];
+  Group.m_First = Fit[Round % Fit.size()];
   for (const RelayTarget &Member : Members)
     if (Member.m_Vm != Group.m_First)
       Group.m_Rest.push_back(Member.m_Vm);
@@ -42,14 +42,14 @@
 } // namespace
 
 std::vector<RelayGroup> relayGroups(std::vector<RelayTarget> Vms,
-                                    std::uint64_t Round) {
+                                    std::uint64_t Round, RelayShape Shape) {
   std::vector<RelayGroup> Groups;
   if (Vms.size() <= MaxToldDirectly) {
     for (RelayTarget &Target : Vms)
       Groups.push_back({std::move(Target.m_Vm), {}});
     return Groups;
   }
-  std::size_t Most = groupSize(Vms.size());
+  std::size_t Most = groupSize(Vms.size(), Shape);
   std::map<std::string, std::vector<RelayTarget>> ByDomain;
   for (RelayTarget &Target : Vms)
     ByDomain[Target.m_Domain].push_back(std::move(Target));
--- a/net/Http.h
+++ b/net/Http.h
@@ -24,7 +24,7 @@
 
 // Tells a handler that the caller has closed its connection.
 struct CallerWatch {
-  bool m_Gone = false; // May be so before the handler runs.
+  bool m_Gone = false;            // May be so before the handler runs.
   std::function<void()> m_OnGone; // Called once, when it happens.
 };
 
--- a/net/PlaceTold.cpp
+++ b/net/PlaceTold.cpp
@@ -12,7 +12,7 @@
 // of both fit into a datagram, with the VMs that it is to be passed on to.
 constexpr std::size_t ObjectsPerDatagram = 18;
 constexpr std::size_t LoadsPerDatagram = 27;
-constexpr std::size_t ServersPerDatagram = 20;
+constexpr std::size_t ServersPerDatagram = 17;
 constexpr int ServerNewsKinds = 4;
 
 } // namespace
@@ -101,7 +101,7 @@
       Message.append(SchemaVersion);
     Value Row(Json::arrayValue);
     Row.append(Id);
-    Row.append(static_cast<Json::Int64>(News.m_Born));
+    Row.append(static_cast<Json::UInt64>(News.m_Incarnation));
     Row.append(static_cast<int>(News.m_Kind));
     Message.append(std::move(Row));
     if (Message.size() <= ServersPerDatagram)
@@ -121,7 +121,7 @@
     requireArray(Json[I], 3);
     int Kind = Json[I][2].asInt();
     if (Kind >= 0 && Kind < ServerNewsKinds)
-      Servers[Json[I][0].asString()] = {Json[I][1].asInt64(),
+      Servers[Json[I][0].asString()] = {Json[I][1].asUInt64(),
                                         static_cast<ServerNewsKind>(Kind)};
   }
   return Servers;
--- a/net/PlaceTold.h
+++ b/net/PlaceTold.h
@@ -32,15 +32,15 @@
 
 // What one node has found out about a start of a server.
 struct ServerTold {
-  std::int64_t m_Born = 0; // As listed.
+  std::uint64_t m_Incarnation = 0; // As in its row of the fleet.
   ServerNewsKind m_Kind = ServerNewsKind::Unreachable;
 };
 using ServersTold = std::map<std::string, ServerTold>; // By id.
 
 // Returns notifications that fit into a datagram each.
 std::vector<std::string> serversTexts(const ServersTold &Servers);
-// Reads one; throws Json::Exception for a message of the wrong shape. Kinds that
-// are not known are left out.
+// Reads one; throws Json::Exception for a message of the wrong shape. Kinds
+// that are not known are left out.
 ServersTold readServers(const Json::Value &Json);
 
 // Wraps a notification for a node that is to take it and pass it on to others.
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -42,6 +42,7 @@
     {"server_slow", Target::Server},
     {"server_fails", Target::Server},
     {"server_sheds", Target::Server},
+    {"server_pauses", Target::Server},
     {"server_loses", Target::Server},
     {"server_cuts", Target::Server},
     {"server_extra", Target::Server},
@@ -207,6 +208,7 @@
   Wanted.m_Slow = Name == "server_slow" ? 8 : 1;
   Wanted.m_Fails = Name == "server_fails" ? 0.5 : 0;
   Wanted.m_Sheds = Name == "server_sheds" ? 0.5 : 0;
+  Wanted.m_Pauses = Name == "server_pauses" ? 0.3 : 0;
   Wanted.m_LosesAnswer = Name == "server_loses" ? 0.3 : 0;
   Wanted.m_CutsAnswer = Name == "server_cuts" ? 0.3 : 0;
   Wanted.m_ExtraAnswer = Name == "server_extra" ? 0.3 : 0;
--- a/standins/site/Proxy.cpp
+++ b/standins/site/Proxy.cpp
@@ -59,10 +59,15 @@
   auto Endpoint = parseEndpoint(m_Target);
   if (!Endpoint)
     co_return;
+  boost::system::error_code Ignored;
+  auto Caller = Pair->m_Caller.remote_endpoint(Ignored);
+  if (!Ignored) { // The server sees which VM it was.
+    Pair->m_Target.open(tcp::v4(), Ignored);
+    Pair->m_Target.bind({Caller.address(), 0}, Ignored);
+  }
   auto [Error] = co_await Pair->m_Target.async_connect(Endpoint.value(), Await);
   if (Error)
     co_return;
-  boost::system::error_code Ignored;
   Pair->m_Caller.set_option(tcp::no_delay(true), Ignored);
   Pair->m_Target.set_option(tcp::no_delay(true), Ignored);
   m_Links.insert(Pair);
--- a/standins/site/Servers.cpp
+++ b/standins/site/Servers.cpp
@@ -16,6 +16,11 @@
 constexpr Duration SilentFor = 30s;
 constexpr std::size_t BodyRepeats = 20;
 constexpr double ColdSlowdown = 2;
+constexpr Duration PauseWanted = 1500ms;
+constexpr Duration PauseGrace = 500ms; // For what is under way already.
+// A VM that has been told must not choose the server again; what it chose
+// before may still connect.
+constexpr Duration LeavingGrace = 800ms;
 
 } // namespace
 
@@ -97,6 +102,15 @@
   return Late;
 }
 
+void SiteServer::noteArrival(const std::string &Vm) {
+  auto Told = m_ToldLeaving.find(Vm);
+  if (Told != m_ToldLeaving.end() && now() - Told->second > LeavingGrace)
+    m_Unheeded.push_back(now());
+  Pause &Wanted = m_PauseOf[Vm];
+  if (now() >= Wanted.m_From && now() < Wanted.m_Until)
+    m_MostInPause = std::max(m_MostInPause, ++Wanted.m_Arrivals);
+}
+
 void SiteServer::addLoad(HttpResponse &Response) const {
   Response.m_Headers.push_back(
       {m_Names.m_Load, std::to_string(m_Busy) + "," +
@@ -136,7 +150,16 @@
     co_return refusal(421, RequestId);
   if (m_LeftAt.count() > 0)
     m_ArrivalsAfterLeaving.push_back(now());
+  noteArrival(Request.m_PeerIp);
   ++m_Records[RequestId].m_Arrivals;
+  if (m_Random.unit() < m_Faults.m_Pauses) {
+    HttpResponse Response = refusal(503, RequestId);
+    Response.m_Headers.push_back(
+        {m_Names.m_RetryAfter,
+         std::to_string(std::chrono::duration<double>(PauseWanted).count())});
+    m_PauseOf[Request.m_PeerIp] = {now() + PauseGrace, now() + PauseWanted, 0};
+    co_return Response;
+  }
   if (m_Waiting >= m_Kind.m_Slots * QueueOverSlots ||
       m_Random.unit() < m_Faults.m_Sheds)
     co_return refusal(503, RequestId);
@@ -183,6 +206,10 @@
   Response.m_Headers.push_back({m_Names.m_RequestId, RequestId});
   Response.m_Headers.push_back({m_Names.m_Stamp, stampFor(RequestId)});
   addLoad(Response);
+  if (m_Draining) {
+    Response.m_Headers.push_back({m_Names.m_Leaving, "1"});
+    m_ToldLeaving.emplace(Request.m_PeerIp, now());
+  }
   if (now() >= Deadline)
     Response.m_Status = 504;
   else if (m_Random.unit() < m_Faults.m_Fails)
--- a/standins/site/Servers.h
+++ b/standins/site/Servers.h
@@ -30,6 +30,7 @@
   double m_LosesAnswer = 0; // Share run, and the connection cut.
   double m_CutsAnswer = 0;  // Share cut in the body.
   double m_ExtraAnswer = 0; // Share followed by a second response.
+  double m_Pauses = 0;      // Share refused, with a wish to be left alone.
 };
 
 // Sizes of a server.
@@ -67,10 +68,17 @@
   Time leftAt() const { return m_LeftAt; }
   // Moments of the requests that came later than Bound after the leaving.
   std::vector<Time> lateArrivals(Duration Bound) const;
+  // Moments of the requests that a VM sent later than Bound after the server
+  // had told it that it leaves.
+  const std::vector<Time> &unheeded() const { return m_Unheeded; }
+  // Requests in the worst pause that the server had asked a VM for.
+  int mostInPause() const { return m_MostInPause; }
 
 private:
   asio::awaitable<HttpResponse> serve(HttpRequest Request);
   asio::awaitable<HttpResponse> run(HttpRequest Request, std::string RequestId);
+  // Records whether a VM heeds what it has been told.
+  void noteArrival(const std::string &Vm);
   HttpResponse refusal(int Status, const std::string &RequestId) const;
   HttpResponse health() const;
   void addLoad(HttpResponse &Response) const;
@@ -92,6 +100,15 @@
   Time m_StartedAt{0};
   Time m_LeftAt{0};
   std::vector<Time> m_ArrivalsAfterLeaving;
+  std::map<std::string, Time> m_ToldLeaving; // When, by the VM's IP number.
+  std::vector<Time> m_Unheeded;
+  struct Pause {
+    Time m_From{0};
+    Time m_Until{0};
+    int m_Arrivals = 0;
+  };
+  std::map<std::string, Pause> m_PauseOf; // By the VM's IP number.
+  int m_MostInPause = 0;
   std::uint64_t m_Sequence = 0;
   int m_Busy = 0;
   int m_Waiting = 0;
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -235,6 +235,17 @@
         Broken.push_back("drain: " + Server->id() + " got a request " +
                          std::to_string((At - Server->leftAt()) / 1ms) +
                          " ms after it left");
+  constexpr int MostInPause = 2;
+  for (const auto &Server : m_Servers) {
+    for (Time At : Server->unheeded())
+      if (!inTrouble(Server->leftAt(), At))
+        Broken.push_back("drain: " + Server->id() +
+                         " had told a VM that it leaves, and got a request");
+    if (Server->mostInPause() > MostInPause)
+      Broken.push_back("budget: " + Server->id() +
+                       " wanted to be left alone, and got " +
+                       std::to_string(Server->mostInPause()) + " requests");
+  }
   for (const auto &[Id, Record] : m_Records)
     if (Record.m_Runs > 0 && Record.m_Method == "POST" &&
         Record.m_Service != Services[0])
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -355,6 +355,33 @@
     CHECK_FALSE(Entry.withdraw(Low.m_Id));
   }
 
+  // Pattern: a third of the servers is replaced at once. The new ones are cold,
+  // and other processes warm them up.
+  TEST_CASE("objects of cold servers run elsewhere meanwhile") {
+    Dispatcher Entry("r1");
+    std::vector<BackendListing> Listed;
+    for (int I = 0; I < 30; ++I) {
+      Listed.push_back(server("s" + std::to_string(I), "r1"));
+      if (I % 3 == 0)
+        Listed.back().m_ColdUntil = 60s;
+    }
+    Entry.fleet().update(Listed, 1s);
+    Entry.onColdPace([](const BackendListing &) { return 0.0; });
+    int ToWarm = 0;
+    for (std::uint64_t Object = 1; Object <= 60; ++Object) {
+      Placement Placed = Entry.offer(requestFor(Object, Object, 10s), 10s);
+      CHECK(Placed.m_Kind == PlaceKind::Send);
+      if (Placed.m_Kind == PlaceKind::Send)
+        ToWarm += Placed.m_Server % 3 != 0 ? 1 : 0;
+    }
+    CHECK(ToWarm == 60);
+    // Where nearly all are cold, requests wait for their turn.
+    for (BackendListing &Each : Listed)
+      Each.m_ColdUntil = 60s;
+    Entry.fleet().update(Listed, 11s);
+    CHECK(Entry.offer(requestFor(99, 7, 12s), 12s).m_Kind == PlaceKind::Wait);
+  }
+
   TEST_CASE("cold servers get no more than their pace") {
     for (double Pace : {0.0, 1.0, 4.0}) {
       CAPTURE(Pace);
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -89,6 +89,35 @@
     }
   }
 
+  // Pattern: a VM is cut off from all servers, and not from other VMs.
+  TEST_CASE("a process that reaches hardly a server tells nothing") {
+    Fleet Servers;
+    std::vector<BackendListing> Listed;
+    for (int I = 0; I < 100; ++I)
+      Listed.push_back(server("s" + std::to_string(I)));
+    Servers.update(Listed, 1s);
+    std::size_t Told = 0;
+    for (ServerIndex I = 0; I < 100; ++I) {
+      Servers.started(I, 100ms, 5s);
+      Servers.finished(I, report(AttemptOutcome::Unreachable), 5s, 5s);
+      Told += Servers.takeServerNews().size();
+    }
+    CHECK(Told <= 15);
+    // With a third of them gone it tells of each.
+    Fleet Others;
+    Others.update(Listed, 1s);
+    Told = 0;
+    for (ServerIndex I = 0; I < 99; ++I) {
+      Others.started(I, 100ms, 5s);
+      Others.finished(I,
+                      report(I % 3 == 0 ? AttemptOutcome::Unreachable
+                                        : AttemptOutcome::Served),
+                      5s, 5s);
+      Told += Others.takeServerNews().size();
+    }
+    CHECK(Told == 33);
+  }
+
   TEST_CASE("why a server gets no new work") {
     struct Row {
       const char *m_Name;
@@ -181,6 +210,14 @@
            Servers.heardNews(0, ServerNewsKind::Unreachable, Now - 1s);
          },
          LeftOut::Suspect},
+        {"another process could not reach it, which had just answered here",
+         [](Fleet &Servers, Time Now) {
+           Servers.started(0, 100ms, Now - 800ms);
+           Servers.finished(0, report(AttemptOutcome::Served), Now - 800ms,
+                            Now - 700ms);
+           Servers.heardNews(0, ServerNewsKind::Unreachable, Now - 500ms);
+         },
+         LeftOut::No},
         {"another process could not reach it long ago",
          [](Fleet &Servers, Time Now) {
            Servers.heardNews(0, ServerNewsKind::Unreachable, Now - 6s);
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -143,6 +143,7 @@
   for (const std::string &Seed : m_Settings.m_Seeds)
     learnVm(Seed, "");
   m_LastTick = now();
+  m_StartedAt = now();
   m_ListDuty.started(now());
   m_OperatorDuty.started(now());
   spawn(m_Io, tickLoop());
@@ -348,6 +349,8 @@
 
 asio::awaitable<void> Node::probe(ServerIndex Index) {
   const BackendListing Server = m_Dispatcher.fleet().row(Index).m_Listing;
+  const std::uint64_t Incarnation =
+      m_Dispatcher.fleet().row(Index).m_Incarnation;
   const auto &Pools = m_Routes.config().m_Pools;
   HttpRequest Request;
   Request.m_Target =
@@ -355,7 +358,7 @@
   HttpResult Got = co_await m_Backends.send(Server.m_Address, Request,
                                             now() + ProbeTimeout, true);
   m_Probing.erase(Index);
-  if (m_Dispatcher.fleet().row(Index).m_Listing.m_Id != Server.m_Id)
+  if (m_Dispatcher.fleet().row(Index).m_Incarnation != Incarnation)
     co_return;
   HealthAnswer Answer = healthAnswer(Got, Server);
   std::int64_t ColdMillis =
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -74,7 +74,7 @@
   Time m_CallerDeadline{0};
   Time m_RunUntil{0}; // A server may work on it until then.
   HttpRequest m_Request;
-  std::shared_ptr<Cancellation> m_Cancel; // By the caller's close.
+  std::shared_ptr<Cancellation> m_Cancel;        // By the caller's close.
   std::shared_ptr<Cancellation> m_CancelAttempt; // Also by the server's end.
   Placement m_Placed;
   std::unique_ptr<boost::asio::steady_timer> m_Turn; // While it waits.
@@ -222,8 +222,7 @@
   void compareOperatorNews();
   ListNews ownNews(std::vector<ListedRow> Rows) const;
   void sendNews();
-  std::vector<RelayGroup> newsGroups();
-  bool hasNewsLeft() const { return m_ToldChange < m_List.changes(); }
+  std::vector<RelayGroup> newsGroups(RelayShape Shape);
   void tellRegion();
   void tellServers();
   std::vector<std::string> placesAndLoads();
@@ -233,7 +232,6 @@
   void takePlaces(const Json::Value &Params);
   void takeLoads(const Json::Value &Params);
   void applyList();
-  std::vector<std::string> liveInRegion() const;
   std::size_t regionSize() const;
   std::size_t ownReaderRank() const;
   bool comesFromPeer(std::uint64_t ConfigBytes) const;
@@ -276,8 +274,8 @@
   ReaderDuty m_OperatorDuty;
   Time m_NewsSentAt{0};
   std::uint64_t m_NewsRound = 0;
-  std::uint64_t m_ToldChange = 0; // Of the list; later ones are not yet told.
-  bool m_ListIsCurrent = false;   // The control plane has told all, once.
+  TellingMark m_Telling;        // Which changes of the list have been told.
+  bool m_ListIsCurrent = false; // The control plane has told all, once.
   Time m_ServersToldAt{0};
   bool m_ReadFailing = false; // The control plane does not answer this VM.
   std::set<std::string> m_Evacuated;
@@ -291,6 +289,7 @@
   RequestId m_NextRequest = 1;
   std::uint64_t m_Boot = 0;
   std::uint64_t m_Sequence = 0;
+  Time m_StartedAt{0};
   Time m_LastTick{0};
   Time m_LeavingSince{0};
   bool m_VmsListed = false; // The control plane has named the other VMs.
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -28,8 +28,8 @@
 constexpr Duration PeerConfigPause = 500ms;
 // With more VMs, heartbeats go to some and are relayed by them.
 constexpr std::size_t MaxDirectPeers = 16;
-// How often the region hears of places and loads: in larger regions more seldom,
-// so that what each VM receives does not grow with the region.
+// How often the region hears of places and loads: in larger regions more
+// seldom, so that what each VM receives does not grow with the region.
 constexpr std::size_t VmsPerPause = 40;
 constexpr Duration ServersPause = 200ms;
 // Changes are told again for this long, so that a lost datagram does no harm.
@@ -191,17 +191,18 @@
       }));
 }
 
-std::vector<std::string> Node::liveInRegion() const {
-  std::vector<std::string> Live;
+// Right after a start VMs that are listed and not heard of yet count as well,
+// so that not all of a fleet that starts at once take themselves for the
+// reader.
+std::size_t Node::ownReaderRank() const {
+  bool Starting = now() - m_StartedAt < m_ListDuty.tooOld();
+  std::vector<std::string> Vms;
   for (const MemberRow &Row : m_Members.rows())
-    if (Row.m_State == MemberState::Live &&
+    if ((Row.m_State == MemberState::Live ||
+         (Starting && Row.m_State == MemberState::Unheard)) &&
         regionOf(Row) == m_Settings.m_Region)
-      Live.push_back(Row.m_Report.m_Vm);
-  return Live;
-}
-
-std::size_t Node::ownReaderRank() const {
-  return readerRank(m_Settings.m_Ip, liveInRegion());
+      Vms.push_back(Row.m_Report.m_Vm);
+  return readerRank(m_Settings.m_Ip, Vms);
 }
 
 ReadReason Node::reasonToReadList() const {
@@ -212,8 +213,9 @@
                    ReadReason Before) const {
   if (Reason == Before)
     return;
-  m_Metrics.count("rhubarb_store_read_reasons_total",
-                  {{"what", What}, {"reason", std::string(readReasonName(Reason))}});
+  m_Metrics.count(
+      "rhubarb_store_read_reasons_total",
+      {{"what", What}, {"reason", std::string(readReasonName(Reason))}});
   logEvent(Severity::Info, "store_read",
            {{"what", What},
             {"reason", std::string(readReasonName(Reason))},
@@ -252,7 +254,7 @@
   if (Changed)
     applyList();
   if (How == ListRead::Lagging)
-    m_ToldChange = m_List.changes(); // Others read it as well.
+    m_Telling.allTold(m_List); // Others read it as well.
   else if (Changed || now() - m_NewsSentAt >= NewsAfterAnswer)
     sendNews();
 }
@@ -266,13 +268,13 @@
   m_OperatorRevision = std::max(m_OperatorRevision, LastChange);
   m_OperatorComplete = std::max(m_OperatorComplete, Complete);
   m_OperatorKnownAt = KnownAt;
-  if (Newer)
+  if (Newer || now() - m_NewsSentAt >= NewsAfterAnswer)
     sendNews();
 }
 
 // Tells the region that its reader is at work, whether or not there is news.
 void Node::tellRegion() {
-  Duration Pause = hasNewsLeft() ? NewsRestPause : NewsPause;
+  Duration Pause = m_Telling.hasLeft(m_List) ? NewsRestPause : NewsPause;
   if (now() - m_NewsSentAt < Pause || m_ReadFailing || !m_ListIsCurrent ||
       reasonToReadList() == ReadReason::None ||
       now() - m_List.knownAt() >= m_ListDuty.tooOld())
@@ -295,7 +297,7 @@
 }
 
 // The VMs of the region that are to hear news, and who passes it on to whom.
-std::vector<RelayGroup> Node::newsGroups() {
+std::vector<RelayGroup> Node::newsGroups(RelayShape Shape) {
   std::vector<RelayTarget> Targets;
   for (const MemberRow &Row : m_Members.rows()) {
     if (Row.m_Report.m_Vm == m_Settings.m_Ip ||
@@ -305,44 +307,46 @@
     Targets.push_back({Row.m_Report.m_Vm, Row.m_Report.m_Domain,
                        Row.m_State == MemberState::Live});
   }
-  return relayGroups(std::move(Targets), ++m_NewsRound);
+  return relayGroups(std::move(Targets), ++m_NewsRound, Shape);
 }
 
 // Sends the changes that have not been told, as many as the links take, and a
 // few once more that are recent.
 void Node::sendNews() {
   if (!tellsRegion()) { // Others of the region tell it.
-    m_ToldChange = m_List.changes();
+    m_Telling.allTold(m_List);
     return;
   }
   Time Now = now();
-  std::vector<ListedRow> Rows = m_List.changedAfter(m_ToldChange);
+  std::vector<ListedRow> Rows = m_Telling.left(m_List, NewsRepeated, Now);
   std::vector<ListedRow> Recent = m_List.recent(NewsRepeated, Now);
-  if (Rows.size() <= MaxRepeatedRows && Recent.size() <= MaxRepeatedRows)
+  bool Repeat =
+      Rows.size() <= MaxRepeatedRows && Recent.size() <= MaxRepeatedRows;
+  if (Repeat)
     Rows = std::move(Recent);
-  std::vector<RelayGroup> Groups = newsGroups();
+  std::vector<RelayGroup> Groups = newsGroups(RelayShape::Even);
   std::size_t LargestRest = 0;
   for (const RelayGroup &Group : Groups)
     LargestRest = std::max(LargestRest, Group.m_Rest.size());
   m_NewsSentAt = Now;
-  ListNewsMessages News =
-      listNewsMessages(ownNews(Rows), newsBytes(Groups.size()), LargestRest, Now);
-  bool All = News.m_RowsTold == Rows.size();
-  m_ToldChange = All ? m_List.changes() : Rows[News.m_RowsTold - 1].m_Change;
+  ListNewsMessages News = listNewsMessages(
+      ownNews(Rows), newsBytes(Groups.size()), LargestRest, Now);
+  if (!Repeat || News.m_RowsTold == Rows.size())
+    m_Telling.told(m_List, Rows, News.m_RowsTold);
   for (const Json::Value &Message : News.m_Messages) {
     std::string Plain = listNewsText(Message);
     for (const RelayGroup &Group : Groups)
-      m_Datagrams.send(Group.m_First, m_Settings.m_PeerPort,
-                       Group.m_Rest.empty()
-                           ? Plain
-                           : listNewsText(Message, m_Settings.m_Ip,
-                                          Group.m_Rest));
+      m_Datagrams.send(
+          Group.m_First, m_Settings.m_PeerPort,
+          Group.m_Rest.empty()
+              ? Plain
+              : listNewsText(Message, m_Settings.m_Ip, Group.m_Rest));
   }
 }
 
 // Tells the region which servers have run which objects, so that no other
-// process runs them cold elsewhere, which are full, so that not all of them send
-// there at once, and which cannot be used.
+// process runs them cold elsewhere, which are full, so that not all of them
+// send there at once, and which cannot be used.
 void Node::tellServers() {
   const Fleet &Servers = m_Dispatcher.fleet();
   ServersTold News;
@@ -350,7 +354,7 @@
     const BackendRow &Row = Servers.row(Index);
     if (!Row.m_Listed)
       continue;
-    News[Row.m_Listing.m_Id] = {Row.m_Listing.m_Born, Kind};
+    News[Row.m_Listing.m_Id] = {Row.m_Incarnation, Kind};
     logEvent(Severity::Info, "server_news_told",
              {{"server", Row.m_Listing.m_Id},
               {"kind", std::string(serverNewsKindName(Kind))}});
@@ -364,7 +368,7 @@
   }
   if (Texts.empty())
     return;
-  std::vector<RelayGroup> Groups = newsGroups();
+  std::vector<RelayGroup> Groups = newsGroups(RelayShape::Wide);
   for (const std::string &Text : Texts)
     for (const RelayGroup &Group : Groups)
       m_Datagrams.send(Group.m_First, m_Settings.m_PeerPort,
@@ -394,7 +398,7 @@
   for (const auto &[Id, News] : readServers(Params)) {
     ServerIndex Index = m_Dispatcher.fleet().find(Id);
     if (Index != NoServer &&
-        m_Dispatcher.fleet().row(Index).m_Listing.m_Born == News.m_Born) {
+        m_Dispatcher.fleet().row(Index).m_Incarnation == News.m_Incarnation) {
       m_Dispatcher.fleet().heardNews(Index, News.m_Kind, now());
       if (News.m_Kind == ServerNewsKind::Replaced)
         endAttemptsAt(Index, false);
@@ -444,12 +448,14 @@
   if (!News.m_PassOnTo.empty())
     sendToAll(News.m_PassOnTo, listNewsText(Params, News.m_Origin));
   const std::string &Origin = News.m_Origin.empty() ? PeerIp : News.m_Origin;
-  bool ToldAll = !hasNewsLeft();
+  bool ToldAll = !m_Telling.hasLeft(m_List);
   applyListNews(News);
   if (ToldAll) // Its sender has told it to all.
-    m_ToldChange = m_List.changes();
+    m_Telling.allTold(m_List);
   bool Before = readsBefore(Origin, m_Settings.m_Ip);
-  if (Before && (News.m_More || News.m_Digest == m_List.digest()))
+  if (Before && News.m_More)
+    m_ListDuty.heardPart(News.m_Age, now());
+  else if (Before && News.m_Digest == m_List.digest())
     m_ListDuty.heard(News.m_Age, now());
   if (Before)
     m_OperatorDuty.heard(News.m_OperatorAge, now());
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -276,6 +276,7 @@
   AttemptVerdict Verdict;
   ServerIndex Index = Work->m_Placed.m_Server;
   BackendListing Server = m_Dispatcher.fleet().row(Index).m_Listing;
+  std::uint64_t Incarnation = m_Dispatcher.fleet().row(Index).m_Incarnation;
   Work->m_LastServer = Server.m_Id;
   Time StartedAt = now();
   SendOptions Options;
@@ -306,6 +307,10 @@
   Verdict.m_Report.m_ConnectTook =
       Got.m_Reused ? Duration{0} : Got.m_ConnectTook;
   judge(*Work, Got, Verdict);
+  // What happened at its former place says nothing about a server that moved or
+  // started again meanwhile.
+  if (m_Dispatcher.fleet().row(Index).m_Incarnation != Incarnation)
+    Verdict.m_Report.m_Outcome = AttemptOutcome::Abandoned;
   m_Dispatcher.finished(Work->m_Dispatch, Work->m_Placed, Verdict.m_Report,
                         StartedAt, now());
   countWishes(Server, Verdict.m_Report);
@@ -391,8 +396,7 @@
   int Status = Response.m_Status;
   Report.m_Leaving = Response.header(m_Names.m_Leaving) == "1";
   if (Status == 503)
-    Report.m_LeaveAloneFor =
-        readSeconds(Response.header(m_Names.m_RetryAfter));
+    Report.m_LeaveAloneFor = readSeconds(Response.header(m_Names.m_RetryAfter));
   if (Status == 421 || !Response.header(m_Names.m_NotRun).empty()) {
     Report.m_Outcome =
         Status == 421 ? AttemptOutcome::Misdirected : AttemptOutcome::Refused;
