Tell each answer of the store, also when two come together

Ruled out: lost datagrams (it came in step with the reader's answers).

Change: news goes out when what it tells was known at least 100 ms later than what the last news told, for each kind by itself.

--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -93,6 +93,7 @@
   TEST_CASE("a process that reaches hardly a server tells nothing") {
     Fleet Servers;
     std::vector<BackendListing> Listed;
+    Listed.reserve(100);
     for (int I = 0; I < 100; ++I)
       Listed.push_back(server("s" + std::to_string(I)));
     Servers.update(Listed, 1s);
--- a/test/RelaysTest.cpp
+++ b/test/RelaysTest.cpp
@@ -68,6 +68,7 @@
   // Pattern: a fleet has just started, and nothing has been heard of most VMs.
   TEST_CASE("VMs that were not heard of pass on where none was") {
     std::vector<RelayTarget> Vms;
+    Vms.reserve(40);
     for (int I = 0; I < 40; ++I)
       Vms.push_back({std::to_string(I), I < 20 ? "unheard" : "live", I >= 20});
     std::set<std::string> First;
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -403,7 +403,7 @@
   for (const MemberRow &Row : m_Members.rows())
     if (regionOf(Row) == Server.m_Region)
       Near.push_back(Row.m_Report.m_Vm);
-  return coldShare(Server.m_Id, m_Settings.m_Ip, std::move(Near),
+  return coldShare(Server.m_Id, m_Settings.m_Ip, Near,
                    Pools[Pool].m_ColdPerSecond);
 }
 
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -273,6 +273,10 @@
   ReaderDuty m_ListDuty;
   ReaderDuty m_OperatorDuty;
   Time m_NewsSentAt{0};
+  // Up to when what the last news told was known: the store answers for list
+  // and operators' changes at the same pace, and each answer is to be told.
+  Time m_ListKnownTold{0};
+  Time m_OperatorKnownTold{0};
   std::uint64_t m_NewsRound = 0;
   TellingMark m_Telling;        // Which changes of the list have been told.
   bool m_ListIsCurrent = false; // The control plane has told all, once.
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -255,7 +255,7 @@
     applyList();
   if (How == ListRead::Lagging)
     m_Telling.allTold(m_List); // Others read it as well.
-  else if (Changed || now() - m_NewsSentAt >= NewsAfterAnswer)
+  else if (Changed || m_List.knownAt() - m_ListKnownTold >= NewsAfterAnswer)
     sendNews();
 }
 
@@ -268,7 +268,7 @@
   m_OperatorRevision = std::max(m_OperatorRevision, LastChange);
   m_OperatorComplete = std::max(m_OperatorComplete, Complete);
   m_OperatorKnownAt = KnownAt;
-  if (Newer || now() - m_NewsSentAt >= NewsAfterAnswer)
+  if (Newer || KnownAt - m_OperatorKnownTold >= NewsAfterAnswer)
     sendNews();
 }
 
@@ -329,6 +329,8 @@
   for (const RelayGroup &Group : Groups)
     LargestRest = std::max(LargestRest, Group.m_Rest.size());
   m_NewsSentAt = Now;
+  m_ListKnownTold = m_List.knownAt();
+  m_OperatorKnownTold = m_OperatorKnownAt;
   ListNewsMessages News = listNewsMessages(
       ownNews(Rows), newsBytes(Groups.size()), LargestRest, Now);
   if (!Repeat || News.m_RowsTold == Rows.size())
