Tell callers of a starting process when it will be ready

VMs of a tenth of a core have their configuration 0.5 to 1 s after the start, the list up to 1.5 s after it; 2,724 requests of the two logged failure domains were refused meanwhile as no_configuration or no_server, and told to come back after 0.25 to 0.75 s. Each caller comes back once: most came before the process was ready, and 3,837 were refused for good in two seconds.

Ruled out: waiting for a turn (one wait_too_long in that time).

--- a/include/rhubarb/Retry.h
+++ b/include/rhubarb/Retry.h
@@ -35,4 +35,10 @@
   Time m_Counted{0};
 };
 
+// Returns when a caller should come back to a process that cannot serve yet,
+// Passed after its start, with so much of a core. Answers the pattern in which
+// all processes start at once: their callers have one more try each, which must
+// not come before configuration and list are there, nor all in one moment.
+Duration retryAfterStart(Duration Passed, double CpuShare, Random &Spread);
+
 } // namespace rhubarb
--- a/lib/Retry.cpp
+++ b/lib/Retry.cpp
@@ -4,6 +4,23 @@
 #include <cmath>
 
 namespace rhubarb {
+namespace {
+
+// With a core to itself, as one of many that start at once and share the store.
+constexpr Duration ReadyAfterStart = 150ms;
+constexpr Duration LeastAfterStart = 250ms;
+constexpr double LeastCpuShare = 0.05; // Bounds the time to 3 s.
+constexpr double AfterStartSpread = 0.3;
+
+} // namespace
+
+Duration retryAfterStart(Duration Passed, double CpuShare, Random &Spread) {
+  using Seconds = std::chrono::duration<double>;
+  Seconds Whole = Seconds(ReadyAfterStart) / std::max(LeastCpuShare, CpuShare);
+  Seconds Left = std::max<Seconds>(Whole - Passed, LeastAfterStart);
+  return std::chrono::duration_cast<Duration>(
+      Left * (1 + AfterStartSpread * Spread.unit()));
+}
 
 void RetryBudget::firstTry(Time Now) {
   std::chrono::duration<double> Passed = Now - m_Counted;
--- a/test/ConfigTest.cpp
+++ b/test/ConfigTest.cpp
@@ -134,6 +134,54 @@
 }
 
 TEST_SUITE("retry") {
+  // Pattern: all processes of a fleet start at once, and their callers have one
+  // more try each. VMs of a tenth of a core were ready after 1.5 s.
+  TEST_CASE("callers come back to a process when it is ready") {
+    struct Row {
+      Duration m_Passed;
+      double m_CpuShare;
+      Duration m_Least;
+      Duration m_Most;
+    };
+    for (const Row &Case :
+         {Row{0s, 0.1, 1500ms, 1950ms}, Row{1s, 0.1, 500ms, 650ms},
+          Row{9s, 0.1, 250ms, 325ms}, Row{0s, 0.5, 300ms, 390ms},
+          Row{0s, 1, 250ms, 325ms}, Row{0s, 0, 3s, 3900ms}}) {
+      CAPTURE(Case.m_CpuShare);
+      Random Spread(1);
+      Duration First = retryAfterStart(Case.m_Passed, Case.m_CpuShare, Spread);
+      bool Differ = false;
+      for (int I = 0; I < 50; ++I) {
+        Duration Told = retryAfterStart(Case.m_Passed, Case.m_CpuShare, Spread);
+        CHECK(Told >= Case.m_Least);
+        CHECK(Told <= Case.m_Most);
+        Differ = Differ || Told != First;
+      }
+      CHECK(Differ);
+    }
+  }
+
+  // Pattern: a third of the servers fails at once.
+  TEST_CASE("retries saved up stay within the users' share") {
+    RetryLimits Limits;
+    Limits.m_Share = 0.12;
+    Limits.m_SavedShare = 0.06;
+    Limits.m_MaxSaved = 2;
+    RetryBudget Budget(Limits);
+    Time Now = 1s;
+    for (int I = 0; I < 1000; ++I) // A hundred a second, none fails.
+      Budget.firstTry(Now += 10ms);
+    int Retries = 0;
+    int InFirstSecond = 0;
+    for (int I = 0; I < 1000; ++I) { // Each one fails, for a window.
+      Budget.firstTry(Now += 10ms);
+      Retries += Budget.tryRetry() ? 1 : 0;
+      InFirstSecond = I < 100 ? Retries : InFirstSecond;
+    }
+    CHECK(Retries <= 0.2 * 1000 + Limits.m_MaxSaved);
+    CHECK(InFirstSecond >= 40); // More than the share of a second, 12.
+  }
+
   TEST_CASE("retries stay a tenth of first tries, whatever fails") {
     RetryBudget Budget;
     int Retries = 0;
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -79,7 +79,7 @@
                   [this](const std::string &Text, const std::string &PeerIp) {
                     m_Rpc.handle(Text, PeerIp);
                   }),
-      m_TickTimer(Io),
+      m_Random(stableHash(m_Settings.m_Ip)), m_TickTimer(Io),
       m_Dispatcher(m_Settings.m_Region, {}, {}, stableHash(m_Settings.m_Ip)),
       m_Members(m_Settings.m_Ip, m_Settings.m_Domain, MemberLimits{}),
       m_ListDuty(m_Settings.m_ListBound),
@@ -186,6 +186,7 @@
   m_Settings.m_RegionOf = Next.m_RegionOf;
   m_Settings.m_LookupTtl = Next.m_LookupTtl;
   m_Settings.m_Grace = Next.m_Grace;
+  m_Settings.m_CpuShare = Next.m_CpuShare;
   m_Settings.m_MaxConnections = Next.m_MaxConnections;
   if (Next.m_RetryShare != m_Settings.m_RetryShare ||
       Next.m_RetrySlack != m_Settings.m_RetrySlack)
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -46,6 +46,7 @@
   Duration m_ConfigBound = 2s;      // For changes by the operators.
   double m_RetryShare = 0.2;        // Of a service's requests, all VMs.
   double m_RetrySlack = 0;          // Further retries in a window, all VMs.
+  double m_CpuShare = 1;            // Of a core.
   double m_ColdOver = 1;            // Times what a cold server tolerates.
   std::size_t m_MaxConnections = 3000;
 };
@@ -171,6 +172,7 @@
   asio::awaitable<HttpResponse> serve(HttpRequest Request);
   asio::awaitable<HttpResponse> run(ExchangePtr Work);
   asio::awaitable<void> place(ExchangePtr Work);
+  Duration untilReady();
   asio::awaitable<AttemptVerdict> attempt(ExchangePtr Work);
   // Ends the attempts at a server that has gone: idempotent requests go
   // elsewhere, the others are answered.
@@ -255,6 +257,7 @@
   HttpServer m_MetricsServer;
   RpcServer m_Rpc;
   DatagramSocket m_Datagrams;
+  Random m_Random; // Spreads the returns of callers.
   asio::steady_timer m_TickTimer;
 
   RouteTable m_Routes;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -26,7 +26,6 @@
 // Later requests at a leaving process could not end before it does.
 constexpr Duration ServeWhileLeaving = 2500ms;
 constexpr Duration LeavingRetryAfter = 50ms;
-constexpr Duration StartingRetryAfter = 250ms;
 // Another server or another moment may do: soon, but not at once.
 constexpr Duration AfterAttemptRetryAfter = 100ms;
 constexpr int MaxTries = 4; // With servers that could not be reached.
@@ -136,7 +135,7 @@
   if (Work->m_Request.m_Caller->m_Gone)
     co_return refusal(*Work, ErrorKind::CallerGone, Duration{0});
   if (revision() == 0)
-    co_return refusal(*Work, ErrorKind::NoConfiguration, StartingRetryAfter);
+    co_return refusal(*Work, ErrorKind::NoConfiguration, untilReady());
   if (m_Leaving && now() - m_LeavingSince > ServeWhileLeaving)
     co_return refusal(*Work, ErrorKind::Leaving, LeavingRetryAfter);
   const Route *Found =
@@ -224,9 +223,16 @@
   }
 }
 
+Duration Node::untilReady() {
+  return retryAfterStart(now() - m_StartedAt, m_Settings.m_CpuShare, m_Random);
+}
+
 // Decides where the request goes; waits for its turn if need be.
 asio::awaitable<void> Node::place(ExchangePtr Work) {
   Work->m_Placed = m_Dispatcher.offer(Work->m_Dispatch, now());
+  if (Work->m_Placed.m_Kind == PlaceKind::Refuse &&
+      m_List.knownAt().count() == 0)
+    Work->m_Placed.m_RetryAfter = untilReady();
   if (Work->m_Placed.m_Kind == PlaceKind::Send)
     m_Dispatcher.started(Work->m_Placed, now());
   if (Work->m_Placed.m_Kind != PlaceKind::Wait)
