--- a/net/Text.cpp
+++ b/net/Text.cpp
@@ -1,6 +1,7 @@
 #include "net/Text.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -40,7 +41,12 @@
 }
 
 Result<std::string> readFile(const std::string &Name) {
-  std::ifstream Stream(Name);
+  std::ifstream Stream;
+  do { // A signal may interrupt the opening.
+    Stream.clear();
+    errno = 0;
+    Stream.open(Name);
+  } while (!Stream && errno == EINTR);
   if (!Stream)
     return Fault{ErrorKind::BadRequest, Name + ": cannot be read"};
   std::stringstream Text;
