Name request rates from the emulated servers, and check them: a failing test

What callers saw: nothing. Emulated servers can name the requests per second that they take from all VMs together, change it, name 0 and drop it, alone (server_limits) or all of a service in a failure domain (server_limits_all). Their own records are checked with the bound of the issue: in no 4 s more than one and a half times the limit and 5 requests from VMs told half a second before; and, with demand beyond it, at least 0.8 of the limit used.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -49,6 +49,8 @@
     {"server_resets", FaultTarget::Server},
     {"server_links_silent", FaultTarget::Server},
     {"server_delay", FaultTarget::Server},
+    {"server_limits", FaultTarget::Server},
+    {"server_limits_all", FaultTarget::Server},
     {"config", FaultTarget::Operator},
     {"config_storm", FaultTarget::Operator},
     {"evacuate", FaultTarget::Operator},
@@ -56,6 +58,13 @@
 
 // Mean time between the starts of two faults.
 constexpr Duration MeanFaultInterval = 700ms;
+// Time from SIGTERM until a node is killed.
+constexpr Duration GracePeriod = 6s;
+// Longest time from a node's end until its next process serves requests.
+constexpr Duration RestartTime = 1s;
+// Requests per second that a limited server takes.
+constexpr double MinRateLimit = 1;
+constexpr double MaxRateLimit = 6;
 
 } // namespace
 
@@ -139,19 +148,28 @@
 
 asio::awaitable<void> FaultInjector::injectNodeFault(std::string Name) {
   std::size_t Index = m_Random.below(m_Nodes.size());
+  Time StartedAt = now();
+  auto Disturb = [&](std::size_t Node, Duration Lasting) {
+    m_Site.addNodeDisturbance(Node, StartedAt, now() + Lasting);
+  };
   if (Name == "node_kill") {
     m_Nodes.signal(Index, SIGKILL);
+    Disturb(Index, RestartTime);
   } else if (Name == "node_term") {
     m_Nodes.signal(Index, SIGTERM);
+    Disturb(Index, GracePeriod + RestartTime);
   } else if (Name == "node_hup") {
     m_Nodes.signal(Index, SIGHUP);
   } else if (Name == "herd_kill") {
-    for (std::size_t I = 0; I < m_Nodes.size(); ++I)
+    for (std::size_t I = 0; I < m_Nodes.size(); ++I) {
       m_Nodes.signal(I, SIGKILL);
+      Disturb(I, RestartTime);
+    }
   } else {
     m_Nodes.signal(Index, SIGSTOP);
     co_await sleepFor(randomDuration(500ms, 3s));
     m_Nodes.signal(Index, SIGCONT);
+    Disturb(Index, Duration{0});
   }
 }
 
@@ -204,6 +222,10 @@
     m_Site.serverProxy(Index).silenceOpenConnections();
     co_return;
   }
+  if (Name == "server_limits" || Name == "server_limits_all") {
+    co_await limitServers(Index, Name == "server_limits_all");
+    co_return;
+  }
   site::ServerFaults NewFaults;
   site::ProxyFaults ConnectionFaults;
   NewFaults.m_Silent = Name == "server_silent";
@@ -223,6 +245,29 @@
   m_Site.serverProxy(Index).setFaults({});
 }
 
+// A server, or all servers of its service and failure domain, name a limit,
+// then another one, sometimes 0, then none.
+asio::awaitable<void> FaultInjector::limitServers(std::size_t Index, bool All) {
+  std::vector<std::size_t> Limited{Index};
+  const site::ServerProfile Profile = m_Site.servers()[Index]->profile();
+  for (std::size_t I = 0; All && I < m_Site.servers().size(); ++I) {
+    const site::ServerProfile &Other = m_Site.servers()[I]->profile();
+    if (I != Index && Other.m_Service == Profile.m_Service &&
+        Other.m_Domain == Profile.m_Domain)
+      Limited.push_back(I);
+  }
+  auto Name = [&](std::optional<double> PerSecond) {
+    for (std::size_t Server : Limited)
+      m_Site.servers()[Server]->setRateLimit(PerSecond);
+  };
+  Name(MinRateLimit + (MaxRateLimit - MinRateLimit) * m_Random.uniform());
+  co_await sleepFor(randomDuration(4500ms, 7s));
+  bool Zero = m_Random.below(3) == 0;
+  Name(Zero ? 0 : MinRateLimit + MaxRateLimit * m_Random.uniform());
+  co_await sleepFor(randomDuration(1s, 6s));
+  Name(std::nullopt);
+}
+
 asio::awaitable<void> FaultInjector::injectOperatorFault(std::string Name) {
   if (Name == "config") {
     m_Site.changeConfig();
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -26,6 +26,7 @@
   net::asio::awaitable<void> injectNodeFault(std::string Name);
   net::asio::awaitable<void> injectStoreFault(std::string Name);
   net::asio::awaitable<void> injectServerFault(std::string Name);
+  net::asio::awaitable<void> limitServers(std::size_t Index, bool All);
   net::asio::awaitable<void> injectOperatorFault(std::string Name);
   Duration randomDuration(Duration Min, Duration Max);
   std::size_t randomServer();
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -22,6 +22,7 @@
     "  rhubarb-soak --node=FILE [--seed=N] [--seconds=N] [--faults=NAMES]\n"
     "               [--nodes=N] [--rate=N] [--net=NET] [--dir=DIR]\n"
     "               [--served=PERCENT] [--refused=PERCENT]\n"
+    "               [--limit-use=PERCENT]\n"
     "  rhubarb-soak --list\n"
     "  rhubarb-soak (-h | --help)\n\n"
     "Options:\n"
@@ -40,6 +41,8 @@
     "                    [default: run].\n"
     "  --served=PERCENT  Minimum share of calls answered [default: 50].\n"
     "  --refused=PERCENT Maximum share of calls refused [default: 100].\n"
+    "  --limit-use=PERCENT  Minimum share of the rates that servers name\n"
+    "                    [default: 0].\n"
     "  --list            List the faults.\n"
     "  -h --help         Show this text.\n\n"
     "Exit codes: 0 all guarantees held, 1 a guarantee was violated,\n"
@@ -130,6 +133,9 @@
     std::cerr << Started.error().m_Message << "\n";
     return ExitUsage;
   }
+  Deployment.setMinLimitUse(
+      static_cast<double>(parseInteger(Arguments.value("--limit-use"), 0)) /
+      100);
   soak::Nodes Nodes(Arguments.value("--node"), Arguments.value("--dir"));
   for (int Node = 0; Node < Deployment.nodes(); ++Node)
     Nodes.add(Deployment.nodeSettings(Node));
--- a/standins/site/Servers.cpp
+++ b/standins/site/Servers.cpp
@@ -138,15 +138,39 @@
   return Response;
 }
 
+void SiteServer::setRateLimit(std::optional<double> PerSecond) {
+  m_RateLimits.name(PerSecond, now());
+}
+
+void SiteServer::addRateLimit(HttpResponse &Response, const std::string &Vm) {
+  std::optional<double> Limit = m_RateLimits.limit();
+  constexpr int MisdirectedStatus = 421;
+  if (!Limit || Response.m_AbortConnection ||
+      Response.m_Status == MisdirectedStatus)
+    return;
+  Response.m_Headers.push_back({m_Names.m_ServerLimit, std::to_string(*Limit)});
+  if (!Response.m_TruncateAfterBytes)
+    m_RateLimits.recordTold(Vm, now());
+}
+
 asio::awaitable<HttpResponse> SiteServer::serve(HttpRequest Request) {
+  std::string Vm = Request.m_PeerIp;
+  HttpResponse Response = co_await respond(std::move(Request));
+  addRateLimit(Response, Vm);
+  co_return Response;
+}
+
+asio::awaitable<HttpResponse> SiteServer::respond(HttpRequest Request) {
   if (m_Faults.m_Silent || !m_Running) {
     co_await sleepFor(m_Running ? SilentDuration : Duration{0});
     HttpResponse Aborted;
     Aborted.m_AbortConnection = true;
     co_return Aborted;
   }
-  if (Request.path() == "/health")
+  if (Request.path() == "/health") {
+    m_RateLimits.recordArrival(Request.m_PeerIp, now());
     co_return health();
+  }
   std::string RequestId(Request.header(m_Names.m_RequestId));
   std::string Expected(Request.header(m_Names.m_ExpectServer));
   if (!Expected.empty() && Expected != m_Id)
@@ -154,6 +178,7 @@
   if (m_WithdrawnAt.count() > 0)
     m_ArrivalsAfterWithdrawal.push_back(now());
   recordArrival(Request.m_PeerIp);
+  m_RateLimits.recordArrival(Request.m_PeerIp, now());
   ++m_Records[RequestId].m_Arrivals;
   if (m_Random.uniform() < m_Faults.m_RetryAfterShare) {
     HttpResponse Response = refusal(503, RequestId);
--- a/standins/site/Servers.h
+++ b/standins/site/Servers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "standins/site/KvStore.h"
+#include "standins/site/RateLimitCheck.h"
 
 #include "platform/Wire.h"
 
@@ -91,6 +92,10 @@
   // Largest number of requests from a VM during a pause that the server had
   // asked it for with Retry-After.
   int maxArrivalsInPause() const { return m_MaxArrivalsInPause; }
+  // Names a limit in requests per second in every response from now on; none
+  // ends it.
+  void setRateLimit(std::optional<double> PerSecond);
+  const RateLimitCheck &rateLimits() const { return m_RateLimits; }
 
 private:
   asio::awaitable<HttpResponse> serve(HttpRequest Request);
@@ -100,6 +105,9 @@
   void recordArrival(const std::string &Vm);
   HttpResponse refusal(int Status, const std::string &RequestId) const;
   HttpResponse health() const;
+  // Adds the limit to a response to a VM.
+  void addRateLimit(HttpResponse &Response, const std::string &Vm);
+  asio::awaitable<HttpResponse> respond(HttpRequest Request);
   void addLoad(HttpResponse &Response) const;
 
   asio::io_context &m_Io;
@@ -131,6 +139,7 @@
   // Pause that each VM was last asked for, by the VM's IP address.
   std::map<std::string, Pause> m_PauseByVm;
   int m_MaxArrivalsInPause = 0;
+  RateLimitCheck m_RateLimits;
   std::uint64_t m_Sequence = 0;
   int m_Busy = 0;
   int m_Waiting = 0;
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -230,8 +230,30 @@
                      });
 }
 
+bool Site::overlapsNodeDisturbance(const std::string &Ip, Time At) const {
+  auto [First, Last] = m_NodeDisturbances.equal_range(Ip);
+  return std::any_of(First, Last, [&](const auto &Row) {
+    return Row.second.first <= At && At <= Row.second.second;
+  });
+}
+
+void Site::verifyRateLimits(std::vector<std::string> &Violations) const {
+  auto Excused = [this](const std::string &Ip, Time At) {
+    return overlapsNodeDisturbance(Ip, At);
+  };
+  for (const auto &Server : m_Servers) {
+    for (const std::string &Text : Server->rateLimits().violations(Excused))
+      Violations.push_back("limit: " + Server->id() + " " + Text);
+    double Use = Server->rateLimits().smallestUse(now());
+    if (Use < m_MinLimitUse)
+      Violations.push_back("limit: " + Server->id() + " got " +
+                           std::to_string(Use) + " of the rate that it named");
+  }
+}
+
 std::vector<std::string> Site::verify() const {
   std::vector<std::string> Violations = m_Callers->verify();
+  verifyRateLimits(Violations);
   for (const auto &Server : m_Servers)
     for (Time At : Server->lateArrivals(DrainBound))
       if (!overlapsDisturbance(Server->withdrawnAt(), At))
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -64,6 +64,15 @@
   void addDisturbance(Time From, Time Until) {
     m_Disturbances.emplace_back(From, Until + StableWindow);
   }
+  // Records that a node was restarted, frozen or cut off. The rates that
+  // servers name are not checked for its requests from From until the
+  // StableWindow after Until.
+  void addNodeDisturbance(std::size_t Node, Time From, Time Until) {
+    m_NodeDisturbances.emplace(nodeIp(static_cast<int>(Node)),
+                               std::pair(From, Until + StableWindow));
+  }
+  // Requires each server to get at least this share of the rate that it names.
+  void setMinLimitUse(double Share) { m_MinLimitUse = Share; }
   // Expires leases, stops replaced servers once their time is over and renews
   // the entries of the others.
   void tick();
@@ -75,6 +84,8 @@
 private:
   std::string configText() const;
   bool overlapsDisturbance(Time From, Time Until) const;
+  bool overlapsNodeDisturbance(const std::string &Ip, Time At) const;
+  void verifyRateLimits(std::vector<std::string> &Violations) const;
   Result<int> addServer(const std::string &Service, const std::string &Domain);
 
   asio::io_context &m_Io;
@@ -85,6 +96,9 @@
   std::vector<std::unique_ptr<FaultProxy>> m_ServerProxies;
   std::vector<std::unique_ptr<SiteServer>> m_Servers;
   std::vector<std::pair<Time, Time>> m_Disturbances;
+  // Keyed by the node's IP address.
+  std::multimap<std::string, std::pair<Time, Time>> m_NodeDisturbances;
+  double m_MinLimitUse = 0;
   // Time at which a replaced server stops, by server index; 0 if it is not
   // being replaced.
   std::vector<Time> m_StopAt;
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -76,6 +76,8 @@
   // Says that the server did not execute the request.
   std::string m_NotExecuted;
   std::string m_Leaving; // Is "1" if the backend server is about to stop.
+  // Requests per second that the server takes from all VMs together.
+  std::string m_ServerLimit;
   // Number of seconds during which the server wants no requests from this VM.
   std::string m_RetryAfter;
   std::string m_ColdMillis; // Appears in health check responses.
