Count and log servers' headers that the node does not know

What callers saw: nothing. The logs did not say whether any answer had named a limit, so that hypothesis 1 (no VM reads it) could be told from 2 and 3 by rates at the servers only.

Change: response headers with the servers' prefixes (of the platform's adapter) that no name of the node matches are counted in rhubarb_unknown_server_headers_total; the first value of each of the first 16 names is logged (unknown_server_header). No decision changes.

--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -81,6 +81,8 @@
   // Number of seconds during which the server wants no requests from this VM.
   std::string m_RetryAfter;
   std::string m_ColdMillis; // Appears in health check responses.
+  // Header names that begin so come from servers.
+  std::vector<std::string> m_ServerPrefixes;
 };
 
 // A request in progress.
@@ -218,10 +220,9 @@
   void cancelAttemptsAt(ServerIndex Index, bool IdempotentOnly);
   void recordServerHints(const BackendInfo &Server,
                          const AttemptReport &Report) const;
-  void classifyResult(Exchange &Work, HttpResult &Got,
-                      AttemptResult &Attempt) const;
+  void classifyResult(Exchange &Work, HttpResult &Got, AttemptResult &Attempt);
   void classifyResponse(Exchange &Work, HttpResponse &Response,
-                        AttemptResult &Attempt) const;
+                        AttemptResult &Attempt);
   std::string_view reasonNotToRetry(Exchange &Work,
                                     const AttemptResult &Attempt);
   void logAttempt(const Exchange &Work, const AttemptResult &Attempt,
@@ -229,6 +230,8 @@
   HttpRequest makeServerRequest(const Exchange &Work) const;
   HttpResponse makeRefusal(const Exchange &Work, ErrorKind Kind,
                            Duration RetryAfter) const;
+  // Counts and logs headers of servers that the node does not know.
+  void recordUnknownHeaders(const HttpResponse &Response);
   void processQueue();
   void logRequest(const Exchange &Work, int Status,
                   std::string_view Reason) const;
@@ -342,6 +345,7 @@
   PropagationCursor m_PropagationCursor;
   bool m_ListIsCurrent = false; // A current full list has been read once.
   Time m_ServerUpdatesSentAt{0};
+  std::set<std::string> m_UnknownHeaders; // Header names that were logged.
   bool m_ReadFailing = false; // The last read of the control plane failed.
   std::set<std::string> m_EvacuatedDomains;
   std::uint64_t m_EvacuatedRevision = 0;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -30,6 +30,8 @@
 // A retry may succeed on another server or a little later, but not at once.
 constexpr Duration AfterAttemptRetryAfter = 100ms;
 constexpr int MaxTotalAttempts = 4; // Failed connects count as attempts.
+constexpr std::size_t MaxUnknownHeaders = 16; // Names that are logged.
+constexpr std::size_t MaxLoggedValueBytes = 60;
 
 // Header fields that concern one connection only.
 constexpr std::array<std::string_view, 8> HopByHopHeaders{
@@ -44,6 +46,14 @@
   return Lowered;
 }
 
+bool equalsIgnoringCase(std::string_view A, std::string_view B) {
+  auto Lower = [](char C) {
+    return C >= 'A' && C <= 'Z' ? static_cast<char>(C + ('a' - 'A')) : C;
+  };
+  return std::equal(A.begin(), A.end(), B.begin(), B.end(),
+                    [&](char X, char Y) { return Lower(X) == Lower(Y); });
+}
+
 // Copies the end-to-end header fields: no hop-by-hop fields and none that a
 // Connection field names.
 std::vector<HeaderField>
@@ -372,9 +382,38 @@
             {"pause_ms", millisText(Report.m_BackoffFor)}});
 }
 
+void Node::recordUnknownHeaders(const HttpResponse &Response) {
+  const HeaderNames &Names = m_HeaderNames;
+  for (const HeaderField &Field : Response.m_Headers) {
+    auto Is = [&](const std::string &Name) {
+      return equalsIgnoringCase(Field.m_Name, Name);
+    };
+    auto HasPrefix = [&](const std::string &Prefix) {
+      return equalsIgnoringCase(
+          std::string_view(Field.m_Name).substr(0, Prefix.size()), Prefix);
+    };
+    if (std::none_of(Names.m_ServerPrefixes.begin(),
+                     Names.m_ServerPrefixes.end(), HasPrefix))
+      continue;
+    const std::array Known{&Names.m_RequestId,   &Names.m_ServerStamp,
+                           &Names.m_ServerId,    &Names.m_ServerLoad,
+                           &Names.m_NotExecuted, &Names.m_Leaving,
+                           &Names.m_ColdMillis};
+    if (std::any_of(Known.begin(), Known.end(),
+                    [&](const std::string *Name) { return Is(*Name); }))
+      continue;
+    m_Metrics.count("rhubarb_unknown_server_headers_total");
+    if (m_UnknownHeaders.size() < MaxUnknownHeaders &&
+        m_UnknownHeaders.insert(lower(Field.m_Name)).second)
+      logEvent(Severity::Warning, "unknown_server_header",
+               {{"name", Field.m_Name.substr(0, MaxLoggedValueBytes)},
+                {"value", Field.m_Value.substr(0, MaxLoggedValueBytes)}});
+  }
+}
+
 // Classifies the result of an attempt.
 void Node::classifyResult(Exchange &Work, HttpResult &Got,
-                          AttemptResult &Attempt) const {
+                          AttemptResult &Attempt) {
   switch (Got.m_Failure) {
   case HttpFailure::None:
     classifyResponse(Work, Got.m_Response, Attempt);
@@ -408,7 +447,8 @@
 }
 
 void Node::classifyResponse(Exchange &Work, HttpResponse &Response,
-                            AttemptResult &Attempt) const {
+                            AttemptResult &Attempt) {
+  recordUnknownHeaders(Response);
   AttemptReport &Report = Attempt.m_Report;
   if (auto Load = readLoad(Response.header(m_HeaderNames.m_ServerLoad))) {
     Work.m_ReportedLoad = *Load;
