--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -56,6 +56,9 @@
   ServerIndex m_BestServer = NoServer;
   double m_BestServerLoad = 0;
   Duration m_PredictedWait{0};
+  // A server that ranks higher, but whose rate limit allows no request now.
+  ServerIndex m_RateLimitedServer = NoServer;
+  double m_RateLimitTokens = 0; // Negative: requests sent beyond the rate.
 };
 
 // The decision for a queued request: send or refuse.
@@ -187,6 +190,8 @@
     std::vector<Candidate> m_Ready;
     // Cold servers for which this process has no token.
     std::vector<Candidate> m_Cold;
+    // Servers that name a request rate, with or without tokens.
+    std::vector<Candidate> m_RateLimited;
   };
   bool isPanicMode(int Pool, Time Now) const;
   const PoolSnapshot &poolSnapshot(int Pool, Time Now);
@@ -201,7 +206,12 @@
                                 ServerIndex Index, Time Now) const;
   std::vector<Candidate> rankedCandidates(const DispatchRequest &Request,
                                           Time Now);
-  bool hasCapacity(ServerIndex Index, int Priority, Time Now);
+  bool hasCapacity(ServerIndex Index, const DispatchRequest &Request, Time Now);
+  int queuedAhead(ServerIndex Index, const DispatchRequest &Request) const;
+  bool rateAllows(ServerIndex Index, const DispatchRequest &Request,
+                  Time Now) const;
+  void recordRateLimited(const DispatchRequest &Request,
+                         DispatchDecision &Decision, Time Now) const;
   bool hasSpareSlots(ServerIndex Index, Time Now) const;
   double coldTokens(ServerIndex Index, Time Now);
   bool mayReceive(ServerIndex Index, Time Now);
@@ -210,6 +220,8 @@
                          const std::vector<Candidate> &Ranked, Time Now) const;
   DispatchDecision refuse(const DispatchRequest &Request, ErrorKind Kind,
                           const std::vector<Candidate> &Ranked, Time Now);
+  ErrorKind waitError(const DispatchRequest &Request,
+                      const std::vector<Candidate> &Ranked, Time Now) const;
   Time latestStart(const DispatchRequest &Request) const;
   void enqueue(const DispatchRequest &Request, ServerIndex PreferredServer);
   int queuedFor(ServerIndex Index, int Priority) const;
--- a/include/rhubarb/Errors.h
+++ b/include/rhubarb/Errors.h
@@ -56,6 +56,7 @@
   ServerRefused,
   ServerGarbled,
   ServerFailed,
+  ServersRateLimited,
   Count,
 };
 
--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -3,10 +3,12 @@
 // new requests.
 #pragma once
 
+#include "rhubarb/RateLimit.h"
 #include "rhubarb/Servers.h"
 #include "rhubarb/Types.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -61,6 +63,26 @@
 
 std::string_view attemptOutcomeName(AttemptOutcome Value);
 
+// What a response says about the request rate that the server takes.
+enum class RateLimitHint : std::uint8_t {
+  Unknown,  // No complete response, or a value that cannot be read.
+  NotNamed, // The response names no limit.
+  Named,
+};
+
+// Where a change of a server's limit was heard.
+enum class RateLimitSource : std::uint8_t { Response, HealthCheck, Peer };
+std::string_view rateLimitSourceName(RateLimitSource Value);
+
+// A server's limit that was heard first, changed or ended.
+struct RateLimitChange {
+  std::string m_ServerId;
+  std::optional<double> m_Before; // Requests per second; none: no limit.
+  std::optional<double> m_After;
+  RateLimitSource m_Source = RateLimitSource::Response;
+  Duration m_Age{0}; // Time since the server named it.
+};
+
 // What an attempt revealed about the server.
 struct AttemptReport {
   AttemptOutcome m_Outcome = AttemptOutcome::Served;
@@ -71,6 +93,8 @@
   bool m_Leaving = false; // The server announced its shutdown.
   // The server asked this process to send it no requests for this long.
   Duration m_BackoffFor{0};
+  RateLimitHint m_RateLimitHint = RateLimitHint::Unknown;
+  double m_RateLimit = 0;    // Requests per second, if Named.
   Duration m_ConnectTime{0}; // 0: a connection was reused.
 };
 
@@ -143,7 +167,9 @@
   double m_FailureRate = 0; // Share of recent attempts that failed.
   Time m_SilentSince{0};
   Time m_LastSentAt{0};
-  Time m_PausedUntil{0}; // End of the back-off that the server asked for.
+  Time m_PausedUntil{0};       // End of the back-off that the server asked for.
+  bool m_RateLimited = false;  // The server names a request rate.
+  bool m_RateUnusable = false; // The rate is too low to send requests.
   // The server announced its shutdown, to this or another process; valid until
   // it restarts.
   bool m_ReportedLeaving = false;
@@ -184,8 +210,9 @@
   NotListed,
   Leaving,
   Evacuated,
-  Replaced, // Another server has the address.
-  Paused,   // The server asked this process to back off.
+  Replaced,    // Another server has the address.
+  Paused,      // The server asked this process to back off.
+  RateLimited, // The server takes hardly any requests from all VMs together.
   Unreachable,
   Suspect, // Other processes could not reach the server.
   Stalled,
@@ -238,6 +265,37 @@
   void recordHealthCheck(ServerIndex Index, HealthCheckResult Check,
                          Duration ColdLeft, Time Now);
 
+  // Applies what a health check says about the server's request rate.
+  void applyRateLimitHint(ServerIndex Index, RateLimitHint Hint,
+                          double PerSecond, Time Now);
+  // Records that a health check was sent, which counts as a request.
+  void healthCheckStarted(ServerIndex Index, Time Now) {
+    countAgainstRateLimit(Index, Now);
+  }
+  // Applies what a peer process has heard from and sent to a limited server.
+  void applyRateLimitUpdate(ServerIndex Index, std::uint64_t Peer,
+                            const RateLimitUpdate &Update, Time Now);
+  // Returns what the other VMs must hear about limited servers: new updates,
+  // and with Repeat also recent ones, to make up for lost messages.
+  std::map<ServerIndex, RateLimitUpdate> takeRateLimitUpdates(bool Repeat);
+  bool hasNewRateLimitUpdates() const { return m_HasNewRateLimitUpdates; }
+  // Returns and clears the changes of limits since the last call.
+  std::vector<RateLimitChange> takeRateLimitChanges();
+  // Returns a server's limit, or nullptr if it has never named one.
+  const SharedRateLimit *rateLimit(ServerIndex Index) const;
+  std::size_t rateLimitedServers() const;
+  // Whether a server's limit allows a request of a priority class, behind a
+  // number of others that wait here for the server.
+  bool rateAllows(ServerIndex Index, std::size_t PriorityClass, int Ahead,
+                  Time Now) const;
+  // Sets the share of the known VMs that this VM hears, from 0 to 1.
+  void setHeardShare(double Share, Time Now);
+  // Sets the function that returns this VM's rank among those that check
+  // whether a server takes requests again.
+  void setTrialRankHook(std::function<std::size_t(const BackendInfo &)> Hook) {
+    m_TrialRankHook = std::move(Hook);
+  }
+
   // Returns why a server is excluded, or None.
   ExclusionReason exclusionReason(const BackendState &Row, Time Now) const;
   // Estimates the requests in flight at a server, from all processes. When many
@@ -250,6 +308,7 @@
   }
   // Returns the stalled servers and the unreachable ones whose ejection time is
   // over. A health check with the result Healthy or Full makes them eligible.
+  // Servers with hardly any rate are checked for whether that has changed.
   std::vector<ServerIndex> dueHealthChecks(Time Now) const;
 
   int poolCount() const { return static_cast<int>(m_Pools.size()); }
@@ -288,6 +347,10 @@
   void recordResponse(BackendState &Row, Time Now);
   bool isStalled(const BackendState &Row, Time Now) const;
   void rebuildPools();
+  void observeRateLimit(ServerIndex Index, std::optional<double> PerSecond,
+                        Time HeardAt, RateLimitSource Source, Time Now);
+  void countAgainstRateLimit(ServerIndex Index, Time Now);
+  void markUntold(ServerIndex Index);
 
   FleetLimits m_Limits;
   std::vector<BackendState> m_Rows;
@@ -302,6 +365,14 @@
   std::map<ServerIndex, ServerLoad> m_HighLoads;
   // State changes not yet shared with other processes.
   std::map<ServerIndex, ServerEvent> m_PendingEvents;
+  // Limits of the servers that have named one.
+  std::unordered_map<ServerIndex, SharedRateLimit> m_RateLimits;
+  // How often each update is still to be told to the other VMs.
+  std::map<ServerIndex, int> m_UntoldRateLimits;
+  bool m_HasNewRateLimitUpdates = false;
+  std::vector<RateLimitChange> m_RateLimitChanges;
+  double m_HeardShare = 1;
+  std::function<std::size_t(const BackendInfo &)> m_TrialRankHook;
   // Share of recent attempts that could not reach their server. From one half
   // on, this process itself may be the one that is partitioned.
   double m_UnreachableRate = 0;
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <numeric>
 
 namespace rhubarb {
@@ -147,8 +148,11 @@
     if (Reason != ExclusionReason::None && !(Unhealthy && PanicMode))
       continue;
     bool Local = Row.m_Info.m_Region == m_Region;
-    (mayReceive(Index, Now) ? Snapshot.m_Ready : Snapshot.m_Cold)
-        .push_back({Index, Local, Row.m_Info.m_Slots, 0});
+    std::vector<Candidate> &Servers = !mayReceive(Index, Now) ? Snapshot.m_Cold
+                                      : Row.m_RateLimited
+                                          ? Snapshot.m_RateLimited
+                                          : Snapshot.m_Ready;
+    Servers.push_back({Index, Local, Row.m_Info.m_Slots, 0});
   }
   return Snapshot;
 }
@@ -157,23 +161,32 @@
 // once, few processes may send to each while it is cold, and requests that wait
 // for a token would be refused while other servers have free slots. Cold
 // servers without a token are therefore added only if there are fewer other
-// servers than candidates.
+// servers than candidates. The same holds for servers whose rate limit allows
+// no request now.
 std::vector<Dispatcher::Candidate>
 Dispatcher::eligibleServers(const DispatchRequest &Request, Time Now) {
   const PoolSnapshot &Snapshot = poolSnapshot(Request.m_Pool, Now);
   std::vector<Candidate> Eligible;
-  auto Add = [&](const std::vector<Candidate> &Servers) {
+  auto Add = [&](const std::vector<Candidate> &Servers, auto Filter) {
     for (const Candidate &Server : Servers) {
       bool Tried = std::find(Request.m_TriedServers.begin(),
                              Request.m_TriedServers.end(),
                              Server.m_Server) != Request.m_TriedServers.end();
-      if (!Tried && isRegionAllowed(Request, m_Fleet.row(Server.m_Server)))
+      if (!Tried && isRegionAllowed(Request, m_Fleet.row(Server.m_Server)) &&
+          Filter(Server))
         Eligible.push_back(Server);
     }
   };
-  Add(Snapshot.m_Ready);
-  if (Eligible.size() < static_cast<std::size_t>(m_Limits.m_Candidates))
-    Add(Snapshot.m_Cold);
+  auto Any = [](const Candidate &) { return true; };
+  auto RateAllows = [&](const Candidate &Server) {
+    return rateAllows(Server.m_Server, Request, Now);
+  };
+  Add(Snapshot.m_Ready, Any);
+  Add(Snapshot.m_RateLimited, RateAllows);
+  if (Eligible.size() < static_cast<std::size_t>(m_Limits.m_Candidates)) {
+    Add(Snapshot.m_Cold, Any);
+    Add(Snapshot.m_RateLimited, std::not_fn(RateAllows));
+  }
   return Eligible;
 }
 
@@ -223,6 +236,11 @@
                     [](const Candidate &A, const Candidate &B) {
                       return A.m_Score < B.m_Score;
                     });
+  // Requests wait for a server that can take them sooner.
+  std::stable_partition(Ranked.begin(), Ranked.begin() + SortedCount,
+                        [&](const Candidate &Server) {
+                          return rateAllows(Server.m_Server, Request, Now);
+                        });
   // Beyond the candidates, servers where the object is warm stay eligible.
   const std::vector<WarmServer> &WarmServers =
       m_Affinity.warmServers(Request.m_ObjectHash);
@@ -273,13 +291,56 @@
   return Bucket.m_Tokens;
 }
 
-bool Dispatcher::hasCapacity(ServerIndex Index, int Priority, Time Now) {
+// Returns how many queued requests a request has to let go first.
+int Dispatcher::queuedAhead(ServerIndex Index,
+                            const DispatchRequest &Request) const {
+  // Queued requests are decided in their order.
+  bool Queued = Request.m_PreferredServer != NoServer;
+  return Queued ? 0 : queuedFor(Index, Request.m_Priority);
+}
+
+bool Dispatcher::rateAllows(ServerIndex Index, const DispatchRequest &Request,
+                            Time Now) const {
+  return m_Fleet.rateAllows(Index, priorityClass(Request.m_Priority),
+                            queuedAhead(Index, Request), Now);
+}
+
+// Records the limited server that the request's object prefers to the server
+// that was chosen for it, as the reason why it was placed elsewhere.
+void Dispatcher::recordRateLimited(const DispatchRequest &Request,
+                                   DispatchDecision &Decision, Time Now) const {
+  auto Snapshot = m_PoolSnapshots.find(Request.m_Pool);
+  if (Snapshot == m_PoolSnapshots.end() || Request.m_ObjectHash == 0)
+    return;
+  auto Hash = [&](ServerIndex Index) {
+    return stableHash(m_Fleet.row(Index).m_Info.m_Id, Request.m_ObjectHash);
+  };
+  bool Refused = Decision.m_Server == NoServer;
+  // The highest hash of equal servers has the lowest score.
+  std::uint64_t Highest = Refused ? 0 : Hash(Decision.m_Server);
+  for (const Candidate &Server : Snapshot->second.m_RateLimited) {
+    if (Server.m_Server == Decision.m_Server || !Server.m_Local ||
+        Hash(Server.m_Server) < Highest ||
+        rateAllows(Server.m_Server, Request, Now))
+      continue;
+    Highest = Hash(Server.m_Server);
+    Decision.m_RateLimitedServer = Server.m_Server;
+    Decision.m_RateLimitTokens =
+        m_Fleet.rateLimit(Server.m_Server)->tokens(Now);
+  }
+}
+
+bool Dispatcher::hasCapacity(ServerIndex Index, const DispatchRequest &Request,
+                             Time Now) {
+  if (!rateAllows(Index, Request, Now))
+    return false;
   const BackendState &Row = m_Fleet.row(Index);
   double Slots = Row.m_Info.m_Slots;
   double Load = m_Fleet.load(Row, Now);
   if (m_Fleet.isCold(Row, Now))
     return Load + 1 <= Slots && coldTokens(Index, Now) >= 1;
-  double QueueShare = m_Limits.m_ServerQueueShare[priorityClass(Priority)];
+  double QueueShare =
+      m_Limits.m_ServerQueueShare[priorityClass(Request.m_Priority)];
   if (QueueShare < 0)
     // Rounds the slots to keep free down, as small servers cannot spare one.
     return Load + 1 <= Slots - std::floor(-QueueShare * Slots);
@@ -341,7 +402,7 @@
       FirstWarm == Ranked.end() ? NoServer : FirstWarm->m_Server;
   for (std::size_t I = 0; I < Ranked.size(); ++I) {
     ServerIndex Index = Ranked[I].m_Server;
-    if (!hasCapacity(Index, Request.m_Priority, Now))
+    if (!hasCapacity(Index, Request, Now))
       continue;
     DispatchDecision Decision = makeDecision(Request, Index, Now);
     Decision.m_Overflowed = I > 0;
@@ -427,6 +488,9 @@
   double ServiceTime =
       toMicros(m_Times.expected(Request.m_RouteName, Objective, true));
   Duration Wait = fromMicros(RequestsAhead * ServiceTime / Slots);
+  if (const SharedRateLimit *Limit = m_Fleet.rateLimit(Index))
+    Wait = std::max(Wait, Limit->wait(priorityClass(Request.m_Priority),
+                                      queuedAhead(Index, Request), Now));
   if (isDisabled(Mechanism::Lines))
     return Wait;
   return std::max(
@@ -453,6 +517,7 @@
   Duration Wait = Ranked.empty() ? m_Fleet.earliestResume(Request.m_Pool, Now)
                                  : predictedWait(Request, Ranked, Now);
   Decision.m_PredictedWait = Wait;
+  recordRateLimited(Request, Decision, Now);
   if (!Ranked.empty()) {
     Decision.m_BestServer = Ranked.front().m_Server;
     Decision.m_BestServerLoad =
@@ -469,6 +534,16 @@
   return Decision;
 }
 
+// Returns why a request would wait too long for the server that can take it
+// first.
+ErrorKind Dispatcher::waitError(const DispatchRequest &Request,
+                                const std::vector<Candidate> &Ranked,
+                                Time Now) const {
+  return rateAllows(Ranked.front().m_Server, Request, Now)
+             ? ErrorKind::WaitTooLong
+             : ErrorKind::ServersRateLimited;
+}
+
 DispatchDecision Dispatcher::submit(const DispatchRequest &Request, Time Now) {
   m_PoolSnapshots.clear();
   if (Now >= Request.m_Deadline)
@@ -478,6 +553,7 @@
     return refuse(Request, ErrorKind::NoServerLeft, Ranked, Now);
   if (auto Decision = pickServer(Request, Ranked, false, Now)) {
     m_WaitEstimator.recordSent(Request.m_Pool, Request.m_Priority, Now);
+    recordRateLimited(Request, *Decision, Now);
     return *Decision;
   }
   Duration Wait = predictedWait(Request, Ranked, Now);
@@ -486,7 +562,8 @@
     if (auto Decision = pickServer(Request, Ranked, true, Now))
       return *Decision;
     return refuse(Request,
-                  TooLong ? ErrorKind::WaitTooLong : ErrorKind::QueueFull,
+                  TooLong ? waitError(Request, Ranked, Now)
+                          : ErrorKind::QueueFull,
                   Ranked, Now);
   }
   enqueue(Request, Ranked.front().m_Server);
@@ -545,13 +622,15 @@
     Resolved.m_Id = Request.m_Id;
     if (Decision) {
       Resolved.m_Decision = *Decision;
+      recordRateLimited(Request, Resolved.m_Decision, Now);
       m_WaitEstimator.recordSent(Request.m_Pool, Request.m_Priority, Now);
       started(Resolved.m_Decision, Now);
     } else {
-      Resolved.m_Decision = refuse(Request,
-                                   Ranked.empty() ? ErrorKind::NoServerLeft
-                                                  : ErrorKind::WaitTooLong,
-                                   Ranked, Now);
+      Resolved.m_Decision =
+          refuse(Request,
+                 Ranked.empty() ? ErrorKind::NoServerLeft
+                                : waitError(Request, Ranked, Now),
+                 Ranked, Now);
     }
     recordDequeued(Request);
     m_Queue.erase(m_Queue.begin() + static_cast<std::ptrdiff_t>(I));
@@ -630,7 +709,11 @@
         continue;
       bool Local = Row.m_Info.m_Region == m_Region;
       (Local ? Load.m_LocalSlots : Load.m_RemoteSlots) += Row.m_Info.m_Slots;
-      (Local ? Load.m_LocalLoad : Load.m_RemoteLoad) += m_Fleet.load(Row, Now);
+      // A server that has reached its rate limit has no free slots.
+      double RowLoad = m_Fleet.load(Row, Now);
+      if (!m_Fleet.rateAllows(Index, PriorityClasses - 1, 0, Now))
+        RowLoad = std::max<double>(RowLoad, Row.m_Info.m_Slots);
+      (Local ? Load.m_LocalLoad : Load.m_RemoteLoad) += RowLoad;
     }
     for (const DispatchRequest &Request : m_Queue)
       Load.m_QueuedRequests += Request.m_Pool == Pool ? 1 : 0;
--- a/lib/Errors.cpp
+++ b/lib/Errors.cpp
@@ -78,6 +78,8 @@
      "check before you send it again"},
     {ErrorKind::ServerFailed, "server_failed", 502, Outcome::Unknown, false,
      "ask again with the same key"},
+    {ErrorKind::ServersRateLimited, "servers_rate_limited", 503,
+     Outcome::NotRun, true, "come back after Retry-After"},
 }};
 
 constexpr std::array<std::string_view, 3> OutcomeNames{"answered", "not-run",
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -8,9 +8,12 @@
 namespace rhubarb {
 namespace {
 
-constexpr std::array<std::string_view, 10> ExclusionReasonNames{
-    "no",     "not_listed",  "leaving", "evacuated", "replaced",
-    "paused", "unreachable", "suspect", "stalled",   "failing"};
+constexpr std::array<std::string_view, 11> ExclusionReasonNames{
+    "no",           "not_listed",  "leaving", "evacuated", "replaced", "paused",
+    "rate_limited", "unreachable", "suspect", "stalled",   "failing"};
+
+constexpr std::array<std::string_view, 3> RateLimitSourceNames{
+    "response", "health_check", "peer"};
 
 constexpr std::array<std::string_view, 8> OutcomeNames{
     "served", "failed",      "refused", "misdirected",
@@ -25,6 +28,10 @@
 // Upper bound on the pause that a server can ask for; after it, the server is
 // sent requests again.
 constexpr Duration MaxPause = 60s;
+// Health checks go to a limited server like requests of the lowest priority.
+constexpr std::size_t LowestPriorityClass = 2;
+// How often each update about a limited server is told.
+constexpr int RateLimitTells = 3;
 // Number of VMs that send to one cold server.
 constexpr std::size_t ColdSenders = 2;
 // Part of a cold server's tolerated rate that its senders use in total. The
@@ -74,6 +81,10 @@
   return Names[static_cast<std::size_t>(Value)];
 }
 
+std::string_view rateLimitSourceName(RateLimitSource Value) {
+  return RateLimitSourceNames[static_cast<std::size_t>(Value)];
+}
+
 std::string_view exclusionReasonName(ExclusionReason Value) {
   return ExclusionReasonNames[static_cast<std::size_t>(Value)];
 }
@@ -153,6 +164,7 @@
     Reset.m_ExpectedTimes = Row.m_ExpectedTimes;
     Reset.m_ExpectedTotal = Row.m_ExpectedTotal;
     Row = std::move(Reset);
+    m_RateLimits.erase(find(Info.m_Id));
   }
   if (Row.m_ListedSince == Time{0}) {
     Row.m_ListedSince = Now;
@@ -208,6 +220,7 @@
     const BackendState &Row = row(Position->second);
     if (!Row.m_Listed && Row.m_OwnRequests == 0) {
       m_FreeRows.push_back(Position->second);
+      m_RateLimits.erase(Position->second);
       Position = m_ById.erase(Position);
       continue;
     }
@@ -230,6 +243,7 @@
   Row.m_ExpectedTimes.insert(Expected);
   Row.m_ExpectedTotal += Expected;
   Row.m_LastSentAt = Now;
+  countAgainstRateLimit(Index, Now);
 }
 
 void Fleet::updateLoad(ServerIndex Index, int Total, Time At) {
@@ -252,6 +266,104 @@
         Row.m_PausedUntil, Now + std::min<Duration>(BackoffFor, MaxPause));
 }
 
+// Only limits are kept of servers that have named one: the answer of a server
+// that never has is not recorded.
+void Fleet::observeRateLimit(ServerIndex Index, std::optional<double> PerSecond,
+                             Time HeardAt, RateLimitSource Source, Time Now) {
+  if (!PerSecond && !m_RateLimits.contains(Index))
+    return;
+  SharedRateLimit &Limit = m_RateLimits[Index];
+  std::optional<double> Before = Limit.perSecond();
+  if (!Limit.observe(PerSecond, HeardAt, Now))
+    return;
+  Limit.setShare(m_HeardShare, Now);
+  BackendState &Row = mutableRow(Index);
+  Row.m_RateLimited = Limit.isLimited();
+  Row.m_RateUnusable = Limit.isUnusable();
+  m_RateLimitChanges.push_back(
+      {Row.m_Info.m_Id, Before, Limit.perSecond(), Source, Now - HeardAt});
+  if (Source != RateLimitSource::Peer)
+    markUntold(Index);
+}
+
+void Fleet::applyRateLimitHint(ServerIndex Index, RateLimitHint Hint,
+                               double PerSecond, Time Now) {
+  if (Hint == RateLimitHint::Named)
+    observeRateLimit(Index, PerSecond, Now, RateLimitSource::HealthCheck, Now);
+  // The servers without requests have no other way to end their limit.
+  else if (Hint == RateLimitHint::NotNamed && row(Index).m_RateUnusable)
+    observeRateLimit(Index, std::nullopt, Now, RateLimitSource::HealthCheck,
+                     Now);
+}
+
+void Fleet::markUntold(ServerIndex Index) {
+  m_UntoldRateLimits[Index] = RateLimitTells;
+  m_HasNewRateLimitUpdates = true;
+}
+
+void Fleet::countAgainstRateLimit(ServerIndex Index, Time Now) {
+  if (!row(Index).m_RateLimited)
+    return;
+  m_RateLimits[Index].recordSent(Now);
+  markUntold(Index);
+}
+
+void Fleet::applyRateLimitUpdate(ServerIndex Index, std::uint64_t Peer,
+                                 const RateLimitUpdate &Update, Time Now) {
+  observeRateLimit(Index, Update.m_PerSecond, Update.m_HeardAt,
+                   RateLimitSource::Peer, Now);
+  auto Limit = m_RateLimits.find(Index);
+  if (Limit != m_RateLimits.end())
+    Limit->second.recordPeer(Peer, Update.m_Sent, Now);
+}
+
+std::map<ServerIndex, RateLimitUpdate>
+Fleet::takeRateLimitUpdates(bool Repeat) {
+  std::map<ServerIndex, RateLimitUpdate> Updates;
+  for (auto Untold = m_UntoldRateLimits.begin();
+       Untold != m_UntoldRateLimits.end();) {
+    auto Limit = m_RateLimits.find(Untold->first);
+    bool IsNew = Untold->second == RateLimitTells;
+    if (Limit != m_RateLimits.end() && (IsNew || Repeat)) {
+      Updates[Untold->first] = Limit->second.update();
+      --Untold->second;
+    }
+    bool Done = Limit == m_RateLimits.end() || Untold->second == 0;
+    Untold = Done ? m_UntoldRateLimits.erase(Untold) : std::next(Untold);
+  }
+  m_HasNewRateLimitUpdates = false;
+  return Updates;
+}
+
+std::vector<RateLimitChange> Fleet::takeRateLimitChanges() {
+  return std::exchange(m_RateLimitChanges, {});
+}
+
+const SharedRateLimit *Fleet::rateLimit(ServerIndex Index) const {
+  auto Limit = m_RateLimits.find(Index);
+  return Limit == m_RateLimits.end() ? nullptr : &Limit->second;
+}
+
+std::size_t Fleet::rateLimitedServers() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_RateLimits.begin(), m_RateLimits.end(),
+                    [](const auto &Row) { return Row.second.isLimited(); }));
+}
+
+bool Fleet::rateAllows(ServerIndex Index, std::size_t PriorityClass, int Ahead,
+                       Time Now) const {
+  return !row(Index).m_RateLimited ||
+         m_RateLimits.at(Index).allows(PriorityClass, Ahead, Now);
+}
+
+void Fleet::setHeardShare(double Share, Time Now) {
+  if (Share == m_HeardShare)
+    return;
+  m_HeardShare = Share;
+  for (auto &[Index, Limit] : m_RateLimits)
+    Limit.setShare(Share, Now);
+}
+
 std::map<ServerIndex, ServerLoad> Fleet::takeHighLoads() {
   return std::exchange(m_HighLoads, {});
 }
@@ -333,9 +445,9 @@
     keepMinimum(Row.m_RoundTrip, Report.m_ConnectTime);
     keepMinimum(m_RoundTrips[Row.m_Info.m_Region], Report.m_ConnectTime);
   }
+  bool Ran = Report.m_Outcome == AttemptOutcome::Served ||
+             Report.m_Outcome == AttemptOutcome::Failed;
   if (Report.m_HasLoad) {
-    bool Ran = Report.m_Outcome == AttemptOutcome::Served ||
-               Report.m_Outcome == AttemptOutcome::Failed;
     // The reported load includes this request if it has run.
     int Total = std::max(0, Report.m_Load.m_Running + Report.m_Load.m_Waiting -
                                 (Ran ? 1 : 0));
@@ -350,6 +462,12 @@
       m_HighLoads.erase(Index);
   }
   applyServerHints(Index, Report.m_Leaving, Report.m_BackoffFor, Now);
+  // A server that refuses a request may leave out its limit.
+  if (Report.m_RateLimitHint == RateLimitHint::Named)
+    observeRateLimit(Index, Report.m_RateLimit, Now, RateLimitSource::Response,
+                     Now);
+  else if (Report.m_RateLimitHint == RateLimitHint::NotNamed && Ran)
+    observeRateLimit(Index, std::nullopt, Now, RateLimitSource::Response, Now);
   double Failure = 0;
   switch (Report.m_Outcome) {
   case AttemptOutcome::Abandoned:
@@ -449,6 +567,8 @@
     return ExclusionReason::Replaced;
   if (Now < Row.m_PausedUntil)
     return ExclusionReason::Paused;
+  if (Row.m_RateUnusable)
+    return ExclusionReason::RateLimited;
   if (Row.m_NeedsHealthCheck)
     return ExclusionReason::Unreachable;
   if (Now < Row.m_SuspectUntil)
@@ -478,10 +598,18 @@
 std::vector<ServerIndex> Fleet::dueHealthChecks(Time Now) const {
   std::vector<ServerIndex> DueServers;
   for (const auto &[Id, Index] : m_ById) {
-    ExclusionReason Reason = exclusionReason(row(Index), Now);
+    const BackendState &Row = row(Index);
+    ExclusionReason Reason = exclusionReason(Row, Now);
+    if (Reason == ExclusionReason::RateLimited) {
+      std::size_t Rank = m_TrialRankHook ? m_TrialRankHook(Row.m_Info) : 0;
+      if (m_RateLimits.at(Index).allowsTrial(Rank, Now))
+        DueServers.push_back(Index);
+      continue;
+    }
+    if (!rateAllows(Index, LowestPriorityClass, 0, Now))
+      continue;
     if (Reason == ExclusionReason::Stalled ||
-        (Reason == ExclusionReason::Unreachable &&
-         Now >= row(Index).m_EjectedUntil))
+        (Reason == ExclusionReason::Unreachable && Now >= Row.m_EjectedUntil))
       DueServers.push_back(Index);
   }
   return DueServers;
--- /dev/null
+++ b/lib/RateLimit.cpp
@@ -0,0 +1,111 @@
+#include "rhubarb/RateLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rhubarb {
+namespace {
+
+// Tokens that must be in the bucket before a request of each priority class is
+// sent. While the bucket is short, the highest priority takes all tokens.
+constexpr std::array<double, 3> MinTokens{0, 0.5, 1};
+// Tokens that an idle bucket saves up: this time's worth, but at least a few.
+constexpr double MaxSavedSeconds = 0.25;
+constexpr double MinSavedTokens = 2;
+// Debt beyond this time's worth is forgiven.
+constexpr double MaxDebtSeconds = 4;
+// Tokens by which each lower rank waits longer before its health check, so that
+// the VMs of higher rank are first and the others hear of it.
+constexpr double TrialTokensPerRank = 0.5;
+constexpr double MaxTrialTokens = 5;
+
+double toSeconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+} // namespace
+
+double SharedRateLimit::rate() const {
+  return std::max(m_PerSecond.value_or(0) * m_Share, MinUsableRate);
+}
+
+double SharedRateLimit::tokens(Time Now) const {
+  double MaxTokens = isUnusable()
+                         ? MaxTrialTokens
+                         : std::max(MinSavedTokens, rate() * MaxSavedSeconds);
+  double Seconds = std::max(0.0, toSeconds(Now - m_RefilledAt));
+  return std::clamp(m_Tokens + rate() * Seconds, -rate() * MaxDebtSeconds,
+                    MaxTokens);
+}
+
+void SharedRateLimit::take(double Count, Time Now) {
+  m_Tokens = tokens(Now) - Count;
+  m_RefilledAt = std::max(m_RefilledAt, Now);
+}
+
+bool SharedRateLimit::observe(std::optional<double> PerSecond, Time HeardAt,
+                              Time Now) {
+  if (HeardAt < m_HeardAt)
+    return false;
+  m_HeardAt = HeardAt;
+  if (PerSecond)
+    PerSecond = std::clamp(*PerSecond, 0.0, MaxRateLimit);
+  if (PerSecond == m_PerSecond)
+    return false;
+  // Tokens saved at another rate, or without a limit, do not count.
+  m_Tokens = isLimited() ? std::min(0.0, tokens(Now)) : 0;
+  m_RefilledAt = Now;
+  m_PerSecond = PerSecond;
+  return true;
+}
+
+void SharedRateLimit::setShare(double Share, Time Now) {
+  take(0, Now);
+  m_Share = std::clamp(Share, 0.0, 1.0);
+}
+
+void SharedRateLimit::recordSent(Time Now) {
+  ++m_OwnSent;
+  take(1, Now);
+}
+
+void SharedRateLimit::recordPeer(std::uint64_t Peer, std::uint64_t Sent,
+                                 Time Now) {
+  auto [Known, Added] = m_SentByPeer.try_emplace(Peer, Sent);
+  // A first report is made because of a request; the peer may have sent others
+  // long before.
+  std::uint64_t More = std::min<std::uint64_t>(Sent, 1);
+  if (!Added)
+    More = Sent > Known->second ? Sent - Known->second : 0;
+  Known->second = std::max(Known->second, Sent);
+  m_PeersSent += More;
+  if (More > 0)
+    take(static_cast<double>(More), Now);
+}
+
+bool SharedRateLimit::allows(std::size_t PriorityClass, int Ahead,
+                             Time Now) const {
+  if (!isLimited())
+    return true;
+  return !isUnusable() && tokens(Now) >= MinTokens[PriorityClass] + Ahead;
+}
+
+Duration SharedRateLimit::wait(std::size_t PriorityClass, int Ahead,
+                               Time Now) const {
+  if (allows(PriorityClass, Ahead, Now))
+    return Duration{0};
+  // The requests ahead get this VM's part of the tokens, as the others compete.
+  double OwnPart =
+      static_cast<double>(m_OwnSent + 1) /
+      static_cast<double>(m_OwnSent + m_PeersSent + m_SentByPeer.size() + 1);
+  double Missing =
+      std::max(0.0, MinTokens[PriorityClass] - tokens(Now)) + Ahead / OwnPart;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Missing / rate()));
+}
+
+bool SharedRateLimit::allowsTrial(std::size_t Rank, Time Now) const {
+  return tokens(Now) >= TrialTokensPerRank * static_cast<double>(Rank);
+}
+
+} // namespace rhubarb
--- a/net/ServerUpdates.cpp
+++ b/net/ServerUpdates.cpp
@@ -3,6 +3,8 @@
 #include "net/Messages.h"
 #include "net/RpcClientCodec.h"
 
+#include <algorithm>
+
 namespace rhubarb::net {
 namespace {
 
@@ -13,6 +15,9 @@
 constexpr std::size_t ObjectsPerDatagram = 18;
 constexpr std::size_t LoadsPerDatagram = 27;
 constexpr std::size_t ServersPerDatagram = 17;
+constexpr std::size_t RateLimitsPerDatagram = 10;
+// Header of a notification about limits: schema, VM and its incarnation.
+constexpr Json::ArrayIndex RateLimitHeaderFields = 3;
 constexpr int ServerEventCount = 4;
 
 } // namespace
@@ -129,6 +134,57 @@
   return Updates;
 }
 
+std::vector<std::string> encodeRateLimitUpdates(const RateLimitUpdates &Updates,
+                                                Time Now) {
+  std::vector<std::string> Texts;
+  Value Message(Json::arrayValue);
+  auto Finish = [&] {
+    if (Message.size() > RateLimitHeaderFields)
+      Texts.push_back(encodeNotification("limits", Message));
+    Message = Value(Json::arrayValue);
+    Message.append(SchemaVersion);
+    Message.append(Updates.m_Vm);
+    Message.append(static_cast<Json::UInt64>(Updates.m_Incarnation));
+  };
+  Finish();
+  for (const auto &[Id, Row] : Updates.m_Servers) {
+    Value Fields(Json::arrayValue);
+    Fields.append(Id);
+    Fields.append(static_cast<Json::UInt64>(Row.m_Incarnation));
+    Fields.append(Row.m_Update.m_PerSecond ? Value(*Row.m_Update.m_PerSecond)
+                                           : Value());
+    Fields.append(
+        static_cast<Json::Int64>((Now - Row.m_Update.m_HeardAt) / 1ms));
+    Fields.append(static_cast<Json::UInt64>(Row.m_Update.m_Sent));
+    Message.append(std::move(Fields));
+    if (Message.size() >= RateLimitHeaderFields + RateLimitsPerDatagram)
+      Finish();
+  }
+  Finish();
+  return Texts;
+}
+
+RateLimitUpdates readRateLimitUpdates(const Value &Json, Time Now) {
+  requireArray(Json, RateLimitHeaderFields);
+  RateLimitUpdates Updates;
+  Updates.m_Vm = Json[1].asString();
+  Updates.m_Incarnation = Json[2].asUInt64();
+  for (Json::ArrayIndex I = RateLimitHeaderFields; I < Json.size(); ++I) {
+    constexpr Json::ArrayIndex RowFields = 5;
+    requireArray(Json[I], RowFields);
+    RateLimitUpdates::Row &Row = Updates.m_Servers[Json[I][0].asString()];
+    Row.m_Incarnation = Json[I][1].asUInt64();
+    if (!Json[I][2].isNull())
+      Row.m_Update.m_PerSecond = Json[I][2].asDouble();
+    // A time ahead of ours would outlast what the server says next.
+    Row.m_Update.m_HeardAt =
+        Now - std::chrono::milliseconds(
+                  std::max<Json::Int64>(0, Json[I][3].asInt64()));
+    Row.m_Update.m_Sent = Json[I][4].asUInt64();
+  }
+  return Updates;
+}
+
 std::string encodeForward(const std::string &Text,
                           const std::vector<std::string> &ForwardTo) {
   Value Message(Json::arrayValue);
--- a/net/ServerUpdates.h
+++ b/net/ServerUpdates.h
@@ -1,6 +1,7 @@
 // Updates about backend servers that a node sends to the other nodes of its
 // region: which objects each server has run recently (affinity), which servers
-// are under high load, and which became unusable or usable again (events).
+// are under high load, and which became unusable or usable again (events); and
+// to all other nodes: the limits that servers name, and the requests sent.
 #pragma once
 
 #include "rhubarb/Fleet.h"
@@ -48,6 +49,24 @@
 // Json::Exception if it is malformed.
 ServerEventUpdates readServerEventUpdates(const Json::Value &Json);
 
+// The limits of backend servers, and what one node has sent under them.
+struct RateLimitUpdates {
+  std::string m_Vm;                // IP address of the node.
+  std::uint64_t m_Incarnation = 0; // Start of the node's process.
+  struct Row {
+    std::uint64_t m_Incarnation = 0; // Equal to BackendState::m_Incarnation.
+    RateLimitUpdate m_Update;
+  };
+  std::map<std::string, Row> m_Servers; // By server id.
+};
+
+// Encodes notifications that each fit into a datagram. Times are encoded
+// relative to Now.
+std::vector<std::string> encodeRateLimitUpdates(const RateLimitUpdates &Updates,
+                                                Time Now);
+// Decodes one notification. Throws Json::Exception if it is malformed.
+RateLimitUpdates readRateLimitUpdates(const Json::Value &Json, Time Now);
+
 // Wraps a notification for a node that applies it and forwards it to other
 // VMs.
 std::string encodeForward(const std::string &Text,
--- a/net/Text.cpp
+++ b/net/Text.cpp
@@ -40,6 +40,16 @@
       std::chrono::duration<double>(std::min(Value, Day)));
 }
 
+std::optional<double> parseRate(std::string_view Text) {
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] =
+      std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
+  bool IsRate = Error == std::errc() && Stop == End && std::isfinite(Value) &&
+                !std::signbit(Value);
+  return IsRate ? std::optional(Value) : std::nullopt;
+}
+
 Result<std::string> readFile(const std::string &Name) {
   std::ifstream Stream;
   do { // Repeats if a signal interrupts open().
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -530,6 +530,89 @@
     }
   }
 
+  TEST_CASE("servers that have reached their rate limit get no requests") {
+    struct Row {
+      const char *m_Name;
+      std::vector<BackendInfo> m_Servers;
+      std::size_t m_Limited; // The first so many name a limit.
+      double m_PerSecond;
+      int m_Priority;
+      int m_PeersSent; // Requests that a peer has sent under each limit.
+      DispatchAction m_Action;
+      std::string m_SentTo;
+      ErrorKind m_Error;
+    };
+    const std::vector<BackendInfo> Near{server("a", "r1"), server("b", "r1")};
+    const std::vector<BackendInfo> Far{server("a", "r1"), server("b", "r2")};
+    const Row Rows[] = {
+        {"a token is left", Near, 2, 4, 2, 0, DispatchAction::Send, "",
+         ErrorKind::None},
+        {"another server of the region has no limit", Near, 1, 4, 1, 3,
+         DispatchAction::Send, "b", ErrorKind::None},
+        {"the other server is in another region", Far, 1, 4, 1, 3,
+         DispatchAction::Send, "b", ErrorKind::None},
+        {"all servers are limited, and the wait is short", Near, 2, 20, 1, 5,
+         DispatchAction::Wait, "", ErrorKind::None},
+        {"all servers are limited, and the wait is long", Near, 2, 1, 1, 5,
+         DispatchAction::Refuse, "", ErrorKind::ServersRateLimited},
+        {"the lower priority leaves the last token", Near, 2, 1, 2, 2,
+         DispatchAction::Refuse, "", ErrorKind::ServersRateLimited},
+        {"the highest priority takes the last token", Near, 2, 1, 0, 2,
+         DispatchAction::Send, "", ErrorKind::None},
+        {"no server takes any request", Near, 2, 0, 0, 0,
+         DispatchAction::Refuse, "", ErrorKind::NoServerLeft},
+    };
+    constexpr std::uint64_t Peer = 1;
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      Dispatcher Tested("r1");
+      Tested.fleet().update(Case.m_Servers, 1s);
+      for (std::size_t I = 0; I < Case.m_Limited; ++I) {
+        auto Index = static_cast<ServerIndex>(I);
+        Fleet &Servers = Tested.fleet();
+        Servers.applyRateLimitUpdate(Index, Peer, {Case.m_PerSecond, 1s, 0},
+                                     1s);
+        Servers.applyRateLimitUpdate(
+            Index, Peer,
+            {Case.m_PerSecond, 10s,
+             static_cast<std::uint64_t>(Case.m_PeersSent)},
+            10s);
+      }
+      DispatchRequest Request = requestFor(1, 7, 10s);
+      Request.m_Priority = Case.m_Priority;
+      DispatchDecision Decision = Tested.submit(Request, 10s);
+      CHECK(Decision.m_Action == Case.m_Action);
+      CHECK(errorInfo(Decision.m_Error).m_Name ==
+            errorInfo(Case.m_Error).m_Name);
+      if (!Case.m_SentTo.empty())
+        CHECK(Tested.fleet().row(Decision.m_Server).m_Info.m_Id ==
+              Case.m_SentTo);
+      if (Decision.m_Action == DispatchAction::Refuse) {
+        CHECK(errorInfo(Decision.m_Error).m_Outcome == Outcome::NotRun);
+        CHECK(Decision.m_RetryAfter > Duration{0});
+      }
+    }
+  }
+
+  TEST_CASE("requests that wait for a rate limit go by priority, at its rate") {
+    Dispatcher Tested("r1");
+    Tested.fleet().update({server("a", "r1")}, 1s);
+    Tested.fleet().applyRateLimitUpdate(0, 1, {10.0, 1s, 0}, 1s);
+    Tested.fleet().applyRateLimitUpdate(0, 1, {10.0, 10s, 3}, 10s);
+    DispatchRequest Low = requestFor(1, 7, 10s);
+    Low.m_Priority = 1;
+    DispatchRequest High = requestFor(2, 7, 10s);
+    CHECK(Tested.submit(Low, 10s).m_Action == DispatchAction::Wait);
+    CHECK(Tested.submit(High, 10s).m_Action == DispatchAction::Wait);
+    CHECK(Tested.processQueue(10s + 40ms).empty());
+    std::vector<RequestId> Order;
+    for (Time Now = 10s; Now < 10s + 300ms; Now += 10ms)
+      for (const QueueDecision &Made : Tested.processQueue(Now))
+        if (Made.m_Decision.m_Action == DispatchAction::Send)
+          Order.push_back(Made.m_Id);
+    CHECK(Order == std::vector<RequestId>{High.m_Id, Low.m_Id});
+  }
+
   TEST_CASE("queued requests are sent by priority, and refused in time") {
     Dispatcher Tested("r1");
     Tested.fleet().update({server("a", "r1")}, 1s);
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -122,6 +122,13 @@
         handleForwardedMessage(Params, PeerIp);
         return Json::Value();
       });
+  m_Dispatcher.fleet().setTrialRankHook(
+      [this](const BackendInfo &Server) { return trialRankFor(Server); });
+  m_Rpc.addNotification("limits",
+                        [this](const Json::Value &Params, const std::string &) {
+                          handleRateLimitUpdates(Params);
+                          return Json::Value();
+                        });
   m_Rpc.addNotification("loads",
                         [this](const Json::Value &Params, const std::string &) {
                           handleLoadUpdates(Params);
@@ -283,16 +290,20 @@
     processQueue();
     if (Now - LastPeriodic >= 200ms) {
       LastPeriodic = Now;
+      m_Dispatcher.fleet().setHeardShare(heardShare(), Now);
       m_Dispatcher.tick(Now);
       m_List.tick(Now);
       sendPeriodicListUpdate();
       sendServerUpdates();
+      sendRateLimitUpdates(true);
+      logRateLimitChanges();
       logStateChanges();
       m_BackendClient.closeExpiredConnections(Now);
       m_PeerClient.closeExpiredConnections(Now);
     }
-    m_TickTimer.expires_after(m_QueuedExchanges.empty() ? IdleTickInterval
-                                                        : TickInterval);
+    bool Idle = m_QueuedExchanges.empty() &&
+                !m_Dispatcher.fleet().hasNewRateLimitUpdates();
+    m_TickTimer.expires_after(Idle ? IdleTickInterval : TickInterval);
     co_await m_TickTimer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
@@ -377,6 +388,8 @@
   HttpRequest Request;
   Request.m_Target =
       Pools[static_cast<std::size_t>(Server.m_Pool)].m_HealthPath;
+  m_Dispatcher.fleet().healthCheckStarted(Index, now());
+  sendRateLimitUpdates(false);
   HttpResult Got = co_await m_BackendClient.send(
       Server.m_Address, Request, now() + HealthCheckTimeout, true);
   m_RunningHealthChecks.erase(Index);
@@ -402,6 +415,9 @@
     recordServerHints(Server, Hints);
     m_Dispatcher.fleet().applyServerHints(Index, Hints.m_Leaving,
                                           Hints.m_BackoffFor, now());
+    double PerSecond = 0;
+    RateLimitHint Hint = readRateLimit(Got.m_Response, PerSecond);
+    m_Dispatcher.fleet().applyRateLimitHint(Index, Hint, PerSecond, now());
   }
   // A connection that is neither established nor refused means that the
   // server's host is gone; requests there would wait until their timeout.
@@ -430,6 +446,54 @@
                          Pools[Pool].m_ColdRequestsPerSecond);
 }
 
+// VMs of the server's region come first, as their checks are the cheapest.
+std::size_t Node::trialRankFor(const BackendInfo &Server) const {
+  std::uint64_t Seed = stableHash(Server.m_Id);
+  auto Order = [&](const std::string &Vm, std::string_view Region) {
+    return std::pair(Region == Server.m_Region, stableHash(Vm, Seed));
+  };
+  auto Own = Order(m_Settings.m_Ip, m_Settings.m_Region);
+  const std::vector<MemberRow> &Rows = m_Members.rows();
+  return static_cast<std::size_t>(
+      std::count_if(Rows.begin(), Rows.end(), [&](const MemberRow &Row) {
+        return Row.m_State == MemberState::Live &&
+               Order(Row.m_Report.m_Vm, regionOf(Row)) > Own;
+      }));
+}
+
+double Node::heardShare() const {
+  const std::vector<MemberRow> &Rows = m_Members.rows();
+  auto Heard =
+      std::count_if(Rows.begin(), Rows.end(), [&](const MemberRow &Row) {
+        return Row.m_Report.m_Vm == m_Settings.m_Ip ||
+               Row.m_State == MemberState::Live ||
+               Row.m_State == MemberState::Leaving;
+      });
+  return Rows.empty()
+             ? 1
+             : static_cast<double>(Heard) / static_cast<double>(Rows.size());
+}
+
+std::string rateText(std::optional<double> PerSecond) {
+  return PerSecond ? std::to_string(*PerSecond) : std::string("none");
+}
+
+void Node::logRateLimitChanges() {
+  for (const RateLimitChange &Change :
+       m_Dispatcher.fleet().takeRateLimitChanges()) {
+    m_Metrics.count(
+        "rhubarb_rate_limit_changes_total",
+        {{"source", std::string(rateLimitSourceName(Change.m_Source))}});
+    logEvent(Severity::Info, "server_rate_limit",
+             {{"server", Change.m_ServerId},
+              {"limit", rateText(Change.m_After)},
+              {"before", rateText(Change.m_Before)},
+              {"source", std::string(rateLimitSourceName(Change.m_Source))},
+              {"age_ms", std::to_string(Change.m_Age / 1ms)},
+              {"heard_share", std::to_string(heardShare())}});
+  }
+}
+
 RetryBudget &Node::retryBudget(int Pool) {
   auto Budget = m_RetryBudgets.find(Pool);
   if (Budget != m_RetryBudgets.end())
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -140,6 +140,12 @@
   Current,    // The list contains all changes up to now.
 };
 
+// The VMs that get an update.
+enum class UpdateScope : std::uint8_t { Region, AllVms };
+
+// Formats a limit in requests per second for a log line.
+std::string rateText(std::optional<double> PerSecond);
+
 // Callbacks that the control plane integration provides.
 struct ControlPlaneHooks {
   // Builds the response to a look-up from addresses, sorted best first.
@@ -230,9 +236,13 @@
   HttpRequest makeServerRequest(const Exchange &Work) const;
   HttpResponse makeRefusal(const Exchange &Work, ErrorKind Kind,
                            Duration RetryAfter) const;
+  // Reads the request rate that a response names.
+  RateLimitHint readRateLimit(const HttpResponse &Response,
+                              double &PerSecond) const;
   // Counts and logs headers of servers that the node does not know.
   void recordUnknownHeaders(const HttpResponse &Response);
   void processQueue();
+  void logRateLimitedPlacement(const Exchange &Work) const;
   void logRequest(const Exchange &Work, int Status,
                   std::string_view Reason) const;
 
@@ -247,6 +257,11 @@
   HealthCheckResult classifyHealthResponse(const HttpResult &Got,
                                            const BackendInfo &Server) const;
   double coldRateFor(const BackendInfo &Server) const;
+  // Returns this VM's rank among those that check a server without requests.
+  std::size_t trialRankFor(const BackendInfo &Server) const;
+  // Returns the share of the known VMs that this VM hears.
+  double heardShare() const;
+  void logRateLimitChanges();
   RetryBudget &retryBudget(int Pool);
   // Logs changes in the state of servers and VMs.
   void logStateChanges();
@@ -272,9 +287,17 @@
   void updateOperatorCompleteRevision();
   ServerListUpdate makeListUpdate(std::vector<ListingRow> Rows) const;
   void sendListUpdate();
-  std::vector<RelayGroup> updateRelayGroups(RelayShape Shape);
+  std::vector<RelayGroup> updateRelayGroups(RelayShape Shape,
+                                            UpdateScope Scope);
   void sendPeriodicListUpdate();
   void sendServerUpdates();
+  // Tells all VMs the limits of servers and what was sent under them, at once
+  // or, if that was done just before, with the next tick.
+  void sendRateLimitUpdates(bool Repeat);
+  void handleRateLimitUpdates(const Json::Value &Params);
+  // Sends messages to the relays of groups of VMs.
+  void sendToGroups(const std::vector<std::string> &Texts,
+                    const std::vector<RelayGroup> &Groups);
   std::vector<std::string> encodeAffinityAndLoadUpdates();
   void forwardTo(const std::vector<std::string> &Vms, const std::string &Text);
   void handleServerEvents(const Json::Value &Params);
@@ -345,6 +368,7 @@
   PropagationCursor m_PropagationCursor;
   bool m_ListIsCurrent = false; // A current full list has been read once.
   Time m_ServerUpdatesSentAt{0};
+  Time m_RateLimitUpdatesSentAt{0};
   std::set<std::string> m_UnknownHeaders; // Header names that were logged.
   bool m_ReadFailing = false; // The last read of the control plane failed.
   std::set<std::string> m_EvacuatedDomains;
--- a/tools/rhubarb-node/NodeLookup.cpp
+++ b/tools/rhubarb-node/NodeLookup.cpp
@@ -63,6 +63,8 @@
   for (const auto &[State, Count] : Vms)
     m_Metrics.set("rhubarb_vms", {{"state", State}}, Count);
   const Fleet &Servers = m_Dispatcher.fleet();
+  m_Metrics.set("rhubarb_rate_limited_servers", {},
+                static_cast<double>(Servers.rateLimitedServers()));
   const auto &Pools = m_Routes.config().m_Pools;
   for (int Pool = 0; Pool < Servers.poolCount(); ++Pool) {
     const std::string &Name = Pools[static_cast<std::size_t>(Pool)].m_Name;
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -41,6 +41,9 @@
 constexpr Duration ListUpdateMinInterval = 100ms;
 // While changes are pending, list updates are sent at this interval.
 constexpr Duration PendingListUpdateInterval = 200ms;
+// Updates about limited servers are sent at most this often for each VM that
+// gets them, which bounds what a VM receives.
+constexpr Duration RateLimitIntervalPerVm = 5ms;
 
 } // namespace
 
@@ -313,14 +316,15 @@
   return Update;
 }
 
-// Returns the VMs of the region that receive updates, grouped by the relay that
-// forwards to them.
-std::vector<RelayGroup> Node::updateRelayGroups(RelayShape Shape) {
+// Returns the VMs that receive updates, grouped by the relay that forwards to
+// them.
+std::vector<RelayGroup> Node::updateRelayGroups(RelayShape Shape,
+                                                UpdateScope Scope) {
   std::vector<RelayTarget> Targets;
   for (const MemberRow &Row : m_Members.rows()) {
     if (Row.m_Report.m_Vm == m_Settings.m_Ip ||
         Row.m_State == MemberState::Silent ||
-        regionOf(Row) != m_Settings.m_Region)
+        (Scope == UpdateScope::Region && regionOf(Row) != m_Settings.m_Region))
       continue;
     Targets.push_back({Row.m_Report.m_Vm, Row.m_Report.m_Domain,
                        Row.m_State == MemberState::Live});
@@ -342,7 +346,8 @@
   bool Repeat = Rows.size() <= MaxResentRows && Recent.size() <= MaxResentRows;
   if (Repeat)
     Rows = std::move(Recent);
-  std::vector<RelayGroup> Groups = updateRelayGroups(RelayShape::Balanced);
+  std::vector<RelayGroup> Groups =
+      updateRelayGroups(RelayShape::Balanced, UpdateScope::Region);
   std::size_t MostReceivers = 0;
   for (const RelayGroup &Group : Groups)
     MostReceivers = std::max(MostReceivers, Group.m_Receivers.size());
@@ -390,7 +395,12 @@
   }
   if (Texts.empty())
     return;
-  std::vector<RelayGroup> Groups = updateRelayGroups(RelayShape::FewestGroups);
+  sendToGroups(
+      Texts, updateRelayGroups(RelayShape::FewestGroups, UpdateScope::Region));
+}
+
+void Node::sendToGroups(const std::vector<std::string> &Texts,
+                        const std::vector<RelayGroup> &Groups) {
   for (const std::string &Text : Texts)
     for (const RelayGroup &Group : Groups)
       m_Datagrams.send(Group.m_Relay, m_Settings.m_PeerPort,
@@ -399,6 +409,43 @@
                            : encodeForward(Text, Group.m_Receivers));
 }
 
+void Node::sendRateLimitUpdates(bool Repeat) {
+  if (!Repeat && !m_Dispatcher.fleet().hasNewRateLimitUpdates())
+    return;
+  auto Vms = static_cast<std::int64_t>(m_KnownVms.size());
+  if (now() - m_RateLimitUpdatesSentAt < RateLimitIntervalPerVm * Vms)
+    return;
+  RateLimitUpdates Updates;
+  Updates.m_Vm = m_Settings.m_Ip;
+  Updates.m_Incarnation = m_Incarnation;
+  for (const auto &[Index, Update] :
+       m_Dispatcher.fleet().takeRateLimitUpdates(Repeat)) {
+    const BackendState &Row = m_Dispatcher.fleet().row(Index);
+    if (Row.m_Listed)
+      Updates.m_Servers[Row.m_Info.m_Id] = {Row.m_Incarnation, Update};
+  }
+  if (Updates.m_Servers.empty())
+    return;
+  m_RateLimitUpdatesSentAt = now();
+  sendToGroups(
+      encodeRateLimitUpdates(Updates, now()),
+      updateRelayGroups(RelayShape::FewestGroups, UpdateScope::AllVms));
+}
+
+void Node::handleRateLimitUpdates(const Json::Value &Params) {
+  RateLimitUpdates Updates = readRateLimitUpdates(Params, now());
+  if (Updates.m_Vm == m_Settings.m_Ip)
+    return;
+  std::uint64_t Peer = stableHash(Updates.m_Vm, Updates.m_Incarnation);
+  Fleet &Servers = m_Dispatcher.fleet();
+  for (const auto &[Id, Row] : Updates.m_Servers) {
+    ServerIndex Index = Servers.find(Id);
+    if (Index != NoServer &&
+        Servers.row(Index).m_Incarnation == Row.m_Incarnation)
+      Servers.applyRateLimitUpdate(Index, Peer, Row.m_Update, now());
+  }
+}
+
 std::vector<std::string> Node::encodeAffinityAndLoadUpdates() {
   const Fleet &Servers = m_Dispatcher.fleet();
   AffinityUpdates Affinities;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -257,6 +257,7 @@
     Work->m_Decision.m_RetryAfter = retryAfterUntilReady();
   if (Work->m_Decision.m_Action == DispatchAction::Send)
     m_Dispatcher.started(Work->m_Decision, now());
+  sendRateLimitUpdates(false);
   if (Work->m_Decision.m_Action != DispatchAction::Wait)
     co_return;
   Work->m_QueueTimer = std::make_unique<asio::steady_timer>(
@@ -279,6 +280,7 @@
     Work->m_Decision = Made.m_Decision;
     Work->m_QueueTimer->cancel();
   }
+  sendRateLimitUpdates(false);
 }
 
 HttpRequest Node::makeServerRequest(const Exchange &Work) const {
@@ -382,6 +384,30 @@
             {"pause_ms", millisText(Report.m_BackoffFor)}});
 }
 
+// Of several values the lowest counts. Values that cannot be read neither set
+// nor end a limit.
+RateLimitHint Node::readRateLimit(const HttpResponse &Response,
+                                  double &PerSecond) const {
+  RateLimitHint Hint = RateLimitHint::NotNamed;
+  for (const HeaderField &Field : Response.m_Headers) {
+    if (!equalsIgnoringCase(Field.m_Name, m_HeaderNames.m_ServerLimit))
+      continue;
+    std::optional<double> Rate = parseRate(Field.m_Value);
+    if (!Rate) {
+      m_Metrics.count("rhubarb_unreadable_rate_limits_total");
+      logEvent(Severity::Warning, "rate_limit_unreadable",
+               {{"value", Field.m_Value.substr(0, MaxLoggedValueBytes)}});
+      if (Hint == RateLimitHint::NotNamed)
+        Hint = RateLimitHint::Unknown;
+      continue;
+    }
+    PerSecond =
+        Hint == RateLimitHint::Named ? std::min(PerSecond, *Rate) : *Rate;
+    Hint = RateLimitHint::Named;
+  }
+  return Hint;
+}
+
 void Node::recordUnknownHeaders(const HttpResponse &Response) {
   const HeaderNames &Names = m_HeaderNames;
   for (const HeaderField &Field : Response.m_Headers) {
@@ -398,7 +424,7 @@
     const std::array Known{&Names.m_RequestId,   &Names.m_ServerStamp,
                            &Names.m_ServerId,    &Names.m_ServerLoad,
                            &Names.m_NotExecuted, &Names.m_Leaving,
-                           &Names.m_ColdMillis};
+                           &Names.m_ServerLimit, &Names.m_ColdMillis};
     if (std::any_of(Known.begin(), Known.end(),
                     [&](const std::string *Name) { return Is(*Name); }))
       continue;
@@ -448,8 +474,9 @@
 
 void Node::classifyResponse(Exchange &Work, HttpResponse &Response,
                             AttemptResult &Attempt) {
-  recordUnknownHeaders(Response);
   AttemptReport &Report = Attempt.m_Report;
+  Report.m_RateLimitHint = readRateLimit(Response, Report.m_RateLimit);
+  recordUnknownHeaders(Response);
   if (auto Load = readLoad(Response.header(m_HeaderNames.m_ServerLoad))) {
     Work.m_ReportedLoad = *Load;
     Report.m_HasLoad = true;
@@ -549,6 +576,25 @@
   return Response;
 }
 
+// Logs which limited server a request was kept from.
+void Node::logRateLimitedPlacement(const Exchange &Work) const {
+  const DispatchDecision &Placed = Work.m_Decision;
+  ServerIndex Index = Placed.m_RateLimitedServer;
+  const SharedRateLimit *Limit = m_Dispatcher.fleet().rateLimit(Index);
+  if (Limit == nullptr)
+    return;
+  m_Metrics.count(
+      "rhubarb_rate_limited_placements_total",
+      {{"outcome",
+        Placed.m_Action == DispatchAction::Refuse ? "refused" : "elsewhere"}});
+  logEvent(Severity::Info, "request_rate_limited",
+           {{"id", Work.m_TraceId},
+            {"server", m_Dispatcher.fleet().row(Index).m_Info.m_Id},
+            {"limit", rateText(Limit->perSecond())},
+            {"limit_age_ms", millisText(now() - Limit->heardAt())},
+            {"tokens", std::to_string(Placed.m_RateLimitTokens)}});
+}
+
 void Node::logRequest(const Exchange &Work, int Status,
                       std::string_view Reason) const {
   const DispatchRequest &Item = Work.m_Dispatch;
@@ -559,6 +605,8 @@
                             ? std::string("never_known")
                             : millisText(now() - m_List.knownAt());
   const DispatchDecision &Placed = Work.m_Decision;
+  if (Placed.m_RateLimitedServer != NoServer)
+    logRateLimitedPlacement(Work);
   if (Placed.m_Action == DispatchAction::Refuse) {
     std::string Considered =
         Placed.m_BestServer == NoServer
