Bound the costs and the message fields of rate limits

A VM of a fleet of 295 ticked every 20 ms for up to 1.5 s while an update waited to be sent; each ranking allocated a buffer though no server was limited; an age or a rate out of range in a peer's message overflowed or was kept. Change: the tick waits for the time at which an update may be sent; ranking and look-ups of queue lengths are skipped without limited servers; ages are clamped to an hour, rates that are not finite are ignored. The decoder is fuzzed. Evidence: unit.rate_limit, unit.dispatch and unit.fuzz pass as before. Conclusion: no change for callers.

--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -237,10 +237,11 @@
                       return A.m_Score < B.m_Score;
                     });
   // Requests wait for a server that can take them sooner.
-  std::stable_partition(Ranked.begin(), Ranked.begin() + SortedCount,
-                        [&](const Candidate &Server) {
-                          return rateAllows(Server.m_Server, Request, Now);
-                        });
+  if (!poolSnapshot(Request.m_Pool, Now).m_RateLimited.empty())
+    std::stable_partition(Ranked.begin(), Ranked.begin() + SortedCount,
+                          [&](const Candidate &Server) {
+                            return rateAllows(Server.m_Server, Request, Now);
+                          });
   // Beyond the candidates, servers where the object is warm stay eligible.
   const std::vector<WarmServer> &WarmServers =
       m_Affinity.warmServers(Request.m_ObjectHash);
@@ -301,7 +302,8 @@
 
 bool Dispatcher::rateAllows(ServerIndex Index, const DispatchRequest &Request,
                             Time Now) const {
-  return m_Fleet.rateAllows(Index, priorityClass(Request.m_Priority),
+  return !m_Fleet.row(Index).m_RateLimited ||
+         m_Fleet.rateAllows(Index, priorityClass(Request.m_Priority),
                             queuedAhead(Index, Request), Now);
 }
 
@@ -517,7 +519,8 @@
   Duration Wait = Ranked.empty() ? m_Fleet.earliestResume(Request.m_Pool, Now)
                                  : predictedWait(Request, Ranked, Now);
   Decision.m_PredictedWait = Wait;
-  recordRateLimited(Request, Decision, Now);
+  if (Kind != ErrorKind::DeadlinePassed)
+    recordRateLimited(Request, Decision, Now);
   if (!Ranked.empty()) {
     Decision.m_BestServer = Ranked.front().m_Server;
     Decision.m_BestServerLoad =
--- a/lib/RateLimit.cpp
+++ b/lib/RateLimit.cpp
@@ -45,7 +45,7 @@
 
 bool SharedRateLimit::observe(std::optional<double> PerSecond, Time HeardAt,
                               Time Now) {
-  if (HeardAt < m_HeardAt)
+  if (HeardAt < m_HeardAt || (PerSecond && !std::isfinite(*PerSecond)))
     return false;
   m_HeardAt = HeardAt;
   if (PerSecond)
--- a/net/ServerUpdates.cpp
+++ b/net/ServerUpdates.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t LoadsPerDatagram = 27;
 constexpr std::size_t ServersPerDatagram = 17;
 constexpr std::size_t RateLimitsPerDatagram = 10;
+constexpr Json::Int64 MaxAgeMs = 3'600'000; // Older limits are as good as new.
 // Header of a notification about limits: schema, VM and its incarnation.
 constexpr Json::ArrayIndex RateLimitHeaderFields = 3;
 constexpr int ServerEventCount = 4;
@@ -179,7 +180,7 @@
     // A time ahead of ours would outlast what the server says next.
     Row.m_Update.m_HeardAt =
         Now - std::chrono::milliseconds(
-                  std::max<Json::Int64>(0, Json[I][3].asInt64()));
+                  std::clamp<Json::Int64>(Json[I][3].asInt64(), 0, MaxAgeMs));
     Row.m_Update.m_Sent = Json[I][4].asUInt64();
   }
   return Updates;
--- a/test/NetTest.cpp
+++ b/test/NetTest.cpp
@@ -6,6 +6,7 @@
 #include "net/Messages.h"
 #include "net/RpcClientCodec.h"
 #include "net/RpcServer.h"
+#include "net/ServerUpdates.h"
 #include "net/Settings.h"
 #include "net/Text.h"
 
@@ -279,9 +280,11 @@
     const std::string Seeds[] = {
         compactJson(toJson(sampleHeartbeat())),
         compactJson(toJson(sampleSnapshot())),
-        compactJson(toJson(sampleHandover())), encodeHead(sampleHead()),
+        compactJson(toJson(sampleHandover())),
+        encodeHead(sampleHead()),
         encodeRequest("grant.ask",
-                      toJson(GrantRequest{"s", 0, Priority::Normal, 3}, "p"))};
+                      toJson(GrantRequest{"s", 0, Priority::Normal, 3}, "p")),
+        R"([1,"10.0.0.1",7,["i-1",9,4.5,20,3],["i-2",9,null,20,3]])"};
     RpcServer Server;
     Server.addMethod("grant.ask",
                      [](const Json::Value &Params, const std::string &) {
@@ -315,6 +318,8 @@
       Decode(readKeyHandover);
       Decode(readGrant);
       Decode(readChanges);
+      Decode(
+          [](const Json::Value &Update) { readRateLimitUpdates(Update, 1s); });
     }
     CHECK(DecodedCount > 0);
   }
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -301,9 +301,11 @@
       m_BackendClient.closeExpiredConnections(Now);
       m_PeerClient.closeExpiredConnections(Now);
     }
-    bool Idle = m_QueuedExchanges.empty() &&
-                !m_Dispatcher.fleet().hasNewRateLimitUpdates();
-    m_TickTimer.expires_after(Idle ? IdleTickInterval : TickInterval);
+    Duration Pause =
+        m_QueuedExchanges.empty() ? IdleTickInterval : TickInterval;
+    if (m_Dispatcher.fleet().hasNewRateLimitUpdates())
+      Pause = std::clamp(timeToRateLimitUpdates(), TickInterval, Pause);
+    m_TickTimer.expires_after(Pause);
     co_await m_TickTimer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -294,6 +294,8 @@
   // Tells all VMs the limits of servers and what was sent under them, at once
   // or, if that was done just before, with the next tick.
   void sendRateLimitUpdates(bool Repeat);
+  // Returns the time until updates about limits may be sent again.
+  Duration timeToRateLimitUpdates() const;
   void handleRateLimitUpdates(const Json::Value &Params);
   // Sends messages to the relays of groups of VMs.
   void sendToGroups(const std::vector<std::string> &Texts,
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -409,11 +409,17 @@
                            : encodeForward(Text, Group.m_Receivers));
 }
 
+Duration Node::timeToRateLimitUpdates() const {
+  auto Vms = static_cast<std::int64_t>(m_KnownVms.size());
+  return std::max<Duration>(Duration{0}, m_RateLimitUpdatesSentAt +
+                                             RateLimitIntervalPerVm * Vms -
+                                             now());
+}
+
 void Node::sendRateLimitUpdates(bool Repeat) {
   if (!Repeat && !m_Dispatcher.fleet().hasNewRateLimitUpdates())
     return;
-  auto Vms = static_cast<std::int64_t>(m_KnownVms.size());
-  if (now() - m_RateLimitUpdatesSentAt < RateLimitIntervalPerVm * Vms)
+  if (timeToRateLimitUpdates().count() > 0)
     return;
   RateLimitUpdates Updates;
   Updates.m_Vm = m_Settings.m_Ip;
