Ignore what another server or an earlier start says of itself

Cause: the load, the leave notice, the asked pause and now the rate limit of a response were applied to the server that the request was sent to before the outcome was looked at: also if another server answered at its address (421), or if the server had restarted meanwhile under the same id. A server just started was left out as leaving until its next start, because of an answer from before. Ruled out: responses cut off by the caller's leaving carry no statement. Change: Fleet::finished applies these only to responses of this server and start. Evidence: the new case of unit.fleet failed before with all four statements for both outcomes (8 checks), and passes. Conclusion: mended.

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -347,6 +347,7 @@
   void recordResponse(BackendState &Row, Time Now);
   bool isStalled(const BackendState &Row, Time Now) const;
   void rebuildPools();
+  void applyResponse(ServerIndex Index, const AttemptReport &Report, Time Now);
   void observeRateLimit(ServerIndex Index, std::optional<double> PerSecond,
                         Time HeardAt, RateLimitSource Source, Time Now);
   void countAgainstRateLimit(ServerIndex Index, Time Now);
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -428,23 +428,10 @@
   Row.m_EjectedUntil = Now + Row.m_EjectionTime;
 }
 
-void Fleet::finished(ServerIndex Index, const AttemptReport &Report,
-                     Time StartedAt, Time Now) {
+// Applies what a server says of itself in a response.
+void Fleet::applyResponse(ServerIndex Index, const AttemptReport &Report,
+                          Time Now) {
   BackendState &Row = mutableRow(Index);
-  --Row.m_OwnRequests;
-  if (auto Position = Row.m_StartTimes.find(StartedAt);
-      Position != Row.m_StartTimes.end())
-    Row.m_StartTimes.erase(Position);
-  if (auto Position = Row.m_ExpectedTimes.find(Report.m_ExpectedTime);
-      Position != Row.m_ExpectedTimes.end()) {
-    Row.m_ExpectedTotal -= *Position;
-    Row.m_ExpectedTimes.erase(Position);
-  }
-  if (Report.m_ConnectTime.count() > 0 &&
-      Report.m_Outcome != AttemptOutcome::Unreachable) {
-    keepMinimum(Row.m_RoundTrip, Report.m_ConnectTime);
-    keepMinimum(m_RoundTrips[Row.m_Info.m_Region], Report.m_ConnectTime);
-  }
   bool Ran = Report.m_Outcome == AttemptOutcome::Served ||
              Report.m_Outcome == AttemptOutcome::Failed;
   if (Report.m_HasLoad) {
@@ -468,6 +455,30 @@
                      Now);
   else if (Report.m_RateLimitHint == RateLimitHint::NotNamed && Ran)
     observeRateLimit(Index, std::nullopt, Now, RateLimitSource::Response, Now);
+}
+
+void Fleet::finished(ServerIndex Index, const AttemptReport &Report,
+                     Time StartedAt, Time Now) {
+  BackendState &Row = mutableRow(Index);
+  --Row.m_OwnRequests;
+  if (auto Position = Row.m_StartTimes.find(StartedAt);
+      Position != Row.m_StartTimes.end())
+    Row.m_StartTimes.erase(Position);
+  if (auto Position = Row.m_ExpectedTimes.find(Report.m_ExpectedTime);
+      Position != Row.m_ExpectedTimes.end()) {
+    Row.m_ExpectedTotal -= *Position;
+    Row.m_ExpectedTimes.erase(Position);
+  }
+  if (Report.m_ConnectTime.count() > 0 &&
+      Report.m_Outcome != AttemptOutcome::Unreachable) {
+    keepMinimum(Row.m_RoundTrip, Report.m_ConnectTime);
+    keepMinimum(m_RoundTrips[Row.m_Info.m_Region], Report.m_ConnectTime);
+  }
+  // A response of another server, or of this one before it restarted, says
+  // nothing about it.
+  if (Report.m_Outcome != AttemptOutcome::Misdirected &&
+      Report.m_Outcome != AttemptOutcome::Abandoned)
+    applyResponse(Index, Report, Now);
   double Failure = 0;
   switch (Report.m_Outcome) {
   case AttemptOutcome::Abandoned:
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -507,6 +507,29 @@
     }
   }
 
+  TEST_CASE("what another server or an earlier start says does not count") {
+    for (AttemptOutcome Outcome :
+         {AttemptOutcome::Misdirected, AttemptOutcome::Abandoned}) {
+      CAPTURE(attemptOutcomeName(Outcome));
+      Fleet Servers;
+      Servers.update({server("s")}, 1s);
+      Servers.started(0, 100ms, 2s);
+      AttemptReport Report = report(Outcome);
+      Report.m_Leaving = true;
+      Report.m_BackoffFor = 10s;
+      Report.m_HasLoad = true;
+      Report.m_Load = {9, 20, 9};
+      Report.m_RateLimitHint = RateLimitHint::Named;
+      Report.m_RateLimit = 1;
+      Servers.finished(0, Report, 2s, 2s);
+      const BackendState &Row = Servers.row(0);
+      CHECK_FALSE(Row.m_ReportedLeaving);
+      CHECK(Row.m_PausedUntil == Time{0});
+      CHECK(Row.m_LoadUpdatedAt == Time{0});
+      CHECK(Servers.rateLimit(0) == nullptr);
+    }
+  }
+
   TEST_CASE("servers not contacted yet have their region's round trip") {
     Fleet Servers;
     BackendInfo Contacted;
