Keep a named rate after cuts, in outages and while VMs come and go

Cause: (1) a VM that the platform has not listed the others to (a restart of all processes while the store is down) took the whole rate for itself, as all the VMs that it knew of were heard. (2) VMs that are gone for good counted as not heard for ever, so that a fleet whose VMs are replaced used less and less of each limit. (3) After a cut the requests told late put the bucket into a debt of four seconds. (4) The line about a limited server was named like the lines that rhubarbctl counts as requests. Change: without the list of VMs the lowest rate is used; VMs not heard for 30 s do not count (MemberTable::heardShare); a debt of two seconds at most; the line is placement_rate_limited.

--- a/include/rhubarb/Members.h
+++ b/include/rhubarb/Members.h
@@ -145,6 +145,10 @@
   // requests, sorted.
   std::vector<std::string> liveMembers(std::string_view Domain) const;
 
+  // Returns the share of the VMs that this VM hears. VMs not heard for longer
+  // than CountedFor do not count, as they may be gone for good.
+  double heardShare(Duration CountedFor, Time Now) const;
+
   const MemberRow *find(const std::string &Vm) const;
   const std::vector<MemberRow> &rows() const { return m_Rows; }
   const std::string &self() const { return m_Self; }
--- a/lib/Members.cpp
+++ b/lib/Members.cpp
@@ -70,6 +70,19 @@
   return nullptr;
 }
 
+double MemberTable::heardShare(Duration CountedFor, Time Now) const {
+  double Heard = 0;
+  double Missing = 0;
+  for (const MemberRow &Row : m_Rows) {
+    if (Row.m_Report.m_Vm == m_Self || Row.m_State == MemberState::Live ||
+        Row.m_State == MemberState::Leaving)
+      ++Heard;
+    else if (Now - Row.m_LastHeard <= CountedFor)
+      ++Missing;
+  }
+  return Heard / (Heard + Missing);
+}
+
 void MemberTable::setListedVms(const std::vector<ListedVm> &Rows, Time Now) {
   std::set<std::string> Listed{m_Self};
   for (const ListedVm &Vm : Rows) {
--- a/lib/RateLimit.cpp
+++ b/lib/RateLimit.cpp
@@ -12,8 +12,12 @@
 // Tokens that an idle bucket saves up: this time's worth, but at least a few.
 constexpr double MaxSavedSeconds = 0.25;
 constexpr double MinSavedTokens = 2;
-// Debt beyond this time's worth is forgiven.
-constexpr double MaxDebtSeconds = 4;
+// Debt beyond this time's worth, or a few requests, is forgiven: after a cut
+// the VMs hear at once of requests that were sent long before.
+constexpr double MaxDebtSeconds = 2;
+constexpr double MinMaxDebt = 4;
+// The same for servers that get health checks only.
+constexpr double MaxTrialDebt = 1;
 // Tokens by which each lower rank waits longer before its health check, so that
 // the VMs of higher rank are first and the others hear of it.
 constexpr double TrialTokensPerRank = 0.5;
@@ -30,12 +34,14 @@
 }
 
 double SharedRateLimit::tokens(Time Now) const {
-  double MaxTokens = isUnusable()
-                         ? MaxTrialTokens
-                         : std::max(MinSavedTokens, rate() * MaxSavedSeconds);
+  double MaxTokens = MaxTrialTokens;
+  double MaxDebt = MaxTrialDebt;
+  if (!isUnusable()) {
+    MaxTokens = std::max(MinSavedTokens, rate() * MaxSavedSeconds);
+    MaxDebt = std::max(MinMaxDebt, rate() * MaxDebtSeconds);
+  }
   double Seconds = std::max(0.0, toSeconds(Now - m_RefilledAt));
-  return std::clamp(m_Tokens + rate() * Seconds, -rate() * MaxDebtSeconds,
-                    MaxTokens);
+  return std::min(std::max(m_Tokens, -MaxDebt) + rate() * Seconds, MaxTokens);
 }
 
 void SharedRateLimit::take(double Count, Time Now) {
--- a/test/MembersTest.cpp
+++ b/test/MembersTest.cpp
@@ -281,6 +281,33 @@
     CHECK(FullReports == 2);
   }
 
+  TEST_CASE("share of the VMs that are heard") {
+    struct Row {
+      const char *m_Name;
+      int m_Reporting; // Of three other VMs.
+      Duration m_Since;
+      double m_Expected;
+    };
+    const Row Rows[] = {
+        {"none was ever heard", 0, 1s, 0.25},
+        {"all are heard", 3, 1s, 1},
+        {"one is not heard", 2, 1s, 0.75},
+        {"one is silent now", 3, 5s, 0.25},
+        {"silent VMs do not count for ever", 3, 31s, 1},
+        {"VMs never heard do not count for ever", 0, 31s, 1},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      MemberTable Table(vmName(0, 0), "d0", MemberLimits{});
+      Table.setListedVms(fleet(1, 4), 10s);
+      for (int Vm = 1; Vm <= Case.m_Reporting; ++Vm)
+        Table.observe(reportOf(vmName(0, Vm), 1, 1), Duration{0}, 10s);
+      Table.tick(10s + Case.m_Since);
+      CHECK(Table.heardShare(30s, 10s + Case.m_Since) ==
+            doctest::Approx(Case.m_Expected));
+    }
+  }
+
   TEST_CASE("the list removes VMs and states which are leaving") {
     MemberTable Table("10.0.0.0", "d0", MemberLimits{});
     auto Rows = fleet(1, 3);
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -17,6 +17,8 @@
 constexpr Duration HealthCheckTimeout = 500ms;
 // A longer gap between two ticks means that the process was stalled.
 constexpr Duration StallThreshold = 1s;
+// A VM that is silent for longer is taken for removed.
+constexpr Duration SilentVmsCountFor = 30s;
 constexpr Duration BackendMaxIdleTime = 8s;
 constexpr Duration BackendConnectTimeout = 400ms;
 // Allows two retransmissions over the longest path; a third would be too late.
@@ -463,17 +465,9 @@
       }));
 }
 
+// Without the list of VMs others may send that this VM does not know.
 double Node::heardShare() const {
-  const std::vector<MemberRow> &Rows = m_Members.rows();
-  auto Heard =
-      std::count_if(Rows.begin(), Rows.end(), [&](const MemberRow &Row) {
-        return Row.m_Report.m_Vm == m_Settings.m_Ip ||
-               Row.m_State == MemberState::Live ||
-               Row.m_State == MemberState::Leaving;
-      });
-  return Rows.empty()
-             ? 1
-             : static_cast<double>(Heard) / static_cast<double>(Rows.size());
+  return m_VmsListed ? m_Members.heardShare(SilentVmsCountFor, now()) : 0;
 }
 
 std::string rateText(std::optional<double> PerSecond) {
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -587,7 +587,7 @@
       "rhubarb_rate_limited_placements_total",
       {{"outcome",
         Placed.m_Action == DispatchAction::Refuse ? "refused" : "elsewhere"}});
-  logEvent(Severity::Info, "request_rate_limited",
+  logEvent(Severity::Info, "placement_rate_limited",
            {{"id", Work.m_TraceId},
             {"server", m_Dispatcher.fleet().row(Index).m_Info.m_Id},
             {"limit", rateText(Limit->perSecond())},
