Notice silent VMs of other failure domains as soon as those of the own

Cause: front-kp-a-1 lost power at 3.0 s; no other VM logged a change of its state before it was back at 9.8 s. VMs of other failure domains count as silent only after 9 s, three times the timeout, as in large fleets their heartbeats come over others. In fleets of up to 16 other VMs every VM sends to all. Ruled out: a cut between the two VMs (node_cut only from 11.6 s on). Change: while heartbeats go to all VMs the timeout is 3 s for all. Evidence: the new case of unit.members failed before (live after 3 s).

--- a/include/rhubarb/Members.h
+++ b/include/rhubarb/Members.h
@@ -104,6 +104,9 @@
     m_Limits.m_RelayedHeartbeats = Heartbeats;
   }
 
+  // Sets whether every VM sends its heartbeats to all others.
+  void setAllDirect(bool Value) { m_AllDirect = Value; }
+
   struct ListedVm {
     std::string m_Vm;
     std::string m_Domain;
@@ -170,6 +173,7 @@
   std::string m_Self;
   std::string m_SelfDomain;
   MemberLimits m_Limits;
+  bool m_AllDirect = false;
   std::vector<MemberRow> m_Rows; // The first row is this VM.
   // Number of listed VMs in each failure domain.
   std::unordered_map<std::string, int> m_DomainSizes;
--- a/lib/Members.cpp
+++ b/lib/Members.cpp
@@ -180,7 +180,7 @@
 }
 
 Duration MemberTable::silenceTimeout(const MemberRow &Row) const {
-  bool Direct = receivesDirectly(m_Rows.front(), Row);
+  bool Direct = m_AllDirect || receivesDirectly(m_Rows.front(), Row);
   return m_Limits.m_SilenceTimeout *
          (Direct ? 1 : m_Limits.m_RelayedTimeoutFactor);
 }
--- a/test/MembersTest.cpp
+++ b/test/MembersTest.cpp
@@ -281,6 +281,26 @@
     CHECK(FullReports == 2);
   }
 
+  TEST_CASE("VMs that send to all others are silent after the same time") {
+    struct Row {
+      bool m_AllDirect;
+      Duration m_SilentAfter;
+    };
+    for (const Row &Case : {Row{true, 3s}, Row{false, 9s}}) {
+      CAPTURE(Case.m_AllDirect);
+      MemberTable Table(vmName(0, 0), "d0", MemberLimits{});
+      Table.setListedVms(fleet(3, 3), 10s);
+      Table.setAllDirect(Case.m_AllDirect);
+      MemberReport Report = reportOf(vmName(2, 2), 1, 1);
+      Report.m_Domain = "d2";
+      REQUIRE(Table.observe(Report, Duration{0}, 10s));
+      Table.tick(10s + Case.m_SilentAfter - 1ms);
+      CHECK(Table.find(vmName(2, 2))->m_State == MemberState::Live);
+      Table.tick(10s + Case.m_SilentAfter);
+      CHECK(Table.find(vmName(2, 2))->m_State == MemberState::Silent);
+    }
+  }
+
   TEST_CASE("share of the VMs that are heard") {
     struct Row {
       const char *m_Name;
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -98,6 +98,7 @@
 void Node::sendHeartbeats() {
   MemberReport Own = ownReport();
   m_Members.setOwnReport(Own, now());
+  m_Members.setAllDirect(m_KnownVms.size() <= MaxDirectPeers);
   Heartbeat Message;
   Message.m_Reports.push_back({Own, Duration{0}});
   if (m_KnownVms.size() <= MaxDirectPeers) {
