Do not take a limited server's refusals for failures

Cause: a refusal by a server with free slots counts as a failure; one that keeps to its own limit refuses with free slots, so it would be left out as failing on top of its limit, and under-used. Change: refusals of a server that names a limit are legitimate. Evidence: the new case of unit.rate_limit failed before. Conclusion: mended.

--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -498,10 +498,11 @@
     recordResponse(Row, Now);
     break;
   case AttemptOutcome::Refused:
-    // A refusal by a full server is legitimate; with free slots it is a
+    // A refusal by a full or a limited server is legitimate; otherwise it is a
     // failure.
     Failure =
-        Report.m_HasLoad && Report.m_Load.m_Running >= Report.m_Load.m_Slots
+        Row.m_RateLimited || (Report.m_HasLoad &&
+                              Report.m_Load.m_Running >= Report.m_Load.m_Slots)
             ? 0
             : 1;
     recordResponse(Row, Now);
--- a/test/RateLimitTest.cpp
+++ b/test/RateLimitTest.cpp
@@ -299,6 +299,22 @@
     }
   }
 
+  TEST_CASE("a refusal by a limited server is no failure") {
+    for (bool Limited : {false, true}) {
+      CAPTURE(Limited);
+      Fleet Servers;
+      Servers.update({oneServer()}, 1s);
+      AttemptReport Report;
+      Report.m_Outcome = AttemptOutcome::Refused;
+      if (Limited)
+        Report.m_RateLimitHint = RateLimitHint::Named;
+      Report.m_RateLimit = 5;
+      Servers.started(OnlyServer, ServiceTime, 2s);
+      Servers.finished(OnlyServer, Report, 2s, 2s);
+      CHECK((Servers.row(OnlyServer).m_FailureRate == 0) == Limited);
+    }
+  }
+
   TEST_CASE("what peers heard counts if it is later, and for the same start") {
     Fleet Servers;
     Servers.update({oneServer()}, 1s);
