Let a VM that missed the end of a limit of 0 find out

Cause: servers that take no requests get health checks of the VMs of the first ranks, until one hears that the limit has ended and tells the others. A VM of rank 11 or later that was cut off or frozen then would never check, and leave the server out until the server's next start. Change: if no VM has confirmed the limit for 20 s, and half a second more for each rank, a VM may check by itself. Evidence: the new case of unit.rate_limit failed before for rank 294. Conclusion: mended.

--- a/lib/RateLimit.cpp
+++ b/lib/RateLimit.cpp
@@ -22,6 +22,9 @@
 // the VMs of higher rank are first and the others hear of it.
 constexpr double TrialTokensPerRank = 0.5;
 constexpr double MaxTrialTokens = 5;
+// A limit that nobody has confirmed for this long, and a while more for each
+// rank, may have ended while this VM was cut off.
+constexpr double UnconfirmedSeconds = 20;
 
 double toSeconds(Duration Value) {
   return std::chrono::duration<double>(Value).count();
@@ -111,7 +114,10 @@
 }
 
 bool SharedRateLimit::allowsTrial(std::size_t Rank, Time Now) const {
-  return tokens(Now) >= TrialTokensPerRank * static_cast<double>(Rank);
+  auto Place = static_cast<double>(Rank);
+  bool Unconfirmed = toSeconds(Now - m_HeardAt) >=
+                     UnconfirmedSeconds + TrialTokensPerRank * Place;
+  return tokens(Now) >= (Unconfirmed ? 0 : TrialTokensPerRank * Place);
 }
 
 } // namespace rhubarb
--- a/test/RateLimitTest.cpp
+++ b/test/RateLimitTest.cpp
@@ -315,6 +315,17 @@
     }
   }
 
+  TEST_CASE("a VM that missed the end of a limit of 0 finds out") {
+    // The ranks of a fleet of 295 VMs, whose others know that it has ended.
+    for (std::size_t Rank : {0, 10, 294}) {
+      CAPTURE(Rank);
+      SharedRateLimit Limit;
+      Limit.observe(0.0, 1s, 1s);
+      CHECK(Limit.allowsTrial(Rank, 1s) == (Rank == 0));
+      CHECK(Limit.allowsTrial(Rank, 200s));
+    }
+  }
+
   TEST_CASE("what peers heard counts if it is later, and for the same start") {
     Fleet Servers;
     Servers.update({oneServer()}, 1s);
