Print when a fault of the store ends in a soak

The end of a fault decides whether a process could have read the store; without it a report could not tell a store that was silent all the time from a read that hung on.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -206,6 +206,7 @@
   co_await sleepFor(randomDuration(1s, 4s));
   m_Site.store().setFaults({});
   m_Site.storeProxy().setFaults({});
+  std::cout << now() / 1ms % 1000000 << " " << Name << " ends\n";
 }
 
 asio::awaitable<void> FaultInjector::injectServerFault(std::string Name) {
