--- /dev/null
+++ b/test/StoreTest.cpp
@@ -0,0 +1,104 @@
+// Calls of the platform's store when it does not answer.
+#include "platform/Store.h"
+
+#include "net/Clock.h"
+#include "net/Daemon.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarb;
+using namespace rhubarb::platform;
+
+namespace {
+
+// How a store answers one call.
+struct StoreAnswer {
+  Duration m_Delay{0};
+  Duration m_BodyDelay{0}; // Time from the response's header to its body.
+  int m_Status = 200;
+};
+
+// A store that answers the calls in the order in which they arrive.
+struct ScriptedStore {
+  asio::io_context m_Io{1};
+  Reachability m_Reach;
+  std::vector<StoreAnswer> m_Answers;
+  std::size_t m_Calls = 0;
+  HttpServer m_Server{m_Io, m_Reach, HttpServerLimits{},
+                      [this](const HttpRequest &) { return answer(); }};
+  Metrics m_Counters;
+
+  asio::awaitable<HttpResponse> answer() {
+    StoreAnswer Next =
+        m_Calls < m_Answers.size() ? m_Answers[m_Calls] : StoreAnswer{};
+    ++m_Calls;
+    co_await sleepFor(Next.m_Delay);
+    HttpResponse Response = jsonResponse(
+        Next.m_Status, R"({"items":[],"has_more":false,"store_revision":5})");
+    if (Next.m_BodyDelay.count() > 0) {
+      Response.m_BodyStream = std::make_shared<BodyStream>();
+      Response.m_BodyStream->m_ReadNext =
+          [Text = std::exchange(Response.m_Body, {}),
+           Next]() -> asio::awaitable<BodyFragment> {
+        co_await sleepFor(Next.m_BodyDelay);
+        BodyFragment Body{Text, true, false};
+        co_return Body;
+      };
+    }
+    co_return Response;
+  }
+};
+
+} // namespace
+
+TEST_SUITE("store") {
+  // A VM that started during an outage of the store waited for the timeout of
+  // its reads, although the store already answered other calls.
+  TEST_CASE("a read that the store has forgotten is sent again") {
+    struct Row {
+      const char *m_Name;
+      StoreAnswer m_First;
+      StoreAnswer m_Second;
+      Duration m_SecondAt; // Time from the first call to the second.
+      std::size_t m_Calls;
+      Duration m_FirstEndsBefore;
+    };
+    constexpr Duration Silent = 5s;
+    const Row Rows[] = {
+        {"a later call is answered", {Silent}, {}, 600ms, 3, 1000ms},
+        {"the first has a response soon", {200ms}, {}, 50ms, 2, 500ms},
+        {"its response has begun", {0ms, 900ms}, {}, 600ms, 2, 1400ms},
+        {"later calls are refused", {Silent}, {0ms, 0ms, 503}, 600ms, 2, 2s},
+        {"no later call", {Silent}, {Silent}, 600ms, 2, 2s},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      ScriptedStore Script;
+      Script.m_Answers = {Case.m_First, Case.m_Second};
+      auto Port = Script.m_Server.start("127.0.0.1", 0);
+      REQUIRE(Port);
+      PlatformStore Store(Script.m_Io, Script.m_Counters, "127.0.0.1",
+                          "127.0.0.1:" + std::to_string(Port.value()));
+      Time StartedAt = now();
+      Time FirstEndedAt{0};
+      StoreStatus FirstStatus = StoreStatus::Malformed;
+      auto ReadFirst = [&]() -> asio::awaitable<void> {
+        StoreResponse Response = co_await Store.readRange("op/");
+        FirstStatus = Response.m_Status;
+        FirstEndedAt = now();
+        Script.m_Io.stop();
+      };
+      auto ReadSecond = [&]() -> asio::awaitable<void> {
+        co_await sleepFor(Case.m_SecondAt);
+        co_await Store.readRange("vms/");
+      };
+      spawn(Script.m_Io, ReadFirst());
+      spawn(Script.m_Io, ReadSecond());
+      Script.m_Io.run_for(std::chrono::seconds(3));
+      CHECK(Script.m_Calls == Case.m_Calls);
+      CHECK(FirstEndedAt - StartedAt < Case.m_FirstEndsBefore);
+      bool Answered = Case.m_First.m_Delay < Silent || Case.m_Calls > 2;
+      CHECK(FirstStatus == (Answered ? StoreStatus::Ok : StoreStatus::Lost));
+    }
+  }
+}
