Ask a silent store at short intervals whether it is back, after a start

The reads sent before hung in both spans: all calls of a process that has just started are reads, all of them hang for 1.5 s, and so no later call is there to tell that the store responds.

Test: unit.store "a process that needs the store notices soon that it is back": with the loop left out two of five rows fail (1,500 ms; 700 and 1,400 ms asked).

--- a/test/StoreTest.cpp
+++ b/test/StoreTest.cpp
@@ -59,7 +59,7 @@
       const char *m_Name;
       StoreAnswer m_First;
       StoreAnswer m_Second;
-      Duration m_SecondAt; // Time from the first call to the second.
+      Duration m_SecondAt; // Time from the first call to the second; 0: none.
       std::size_t m_Calls;
       Duration m_FirstEndsBefore;
     };
@@ -101,4 +101,44 @@
       CHECK(FirstStatus == (Answered ? StoreStatus::Ok : StoreStatus::Lost));
     }
   }
+
+  // After an outage of the store, all reads of a VM that had just started hung
+  // until their timeout, and nothing told it that the store was back.
+  TEST_CASE("a process that needs the store notices soon that it is back") {
+    struct Row {
+      const char *m_Name;
+      int m_SilentCalls; // The store answers calls after these.
+      bool m_Needed;
+      Duration m_EndsBefore;
+      std::size_t m_MaxCalls;
+    };
+    constexpr Duration Silent = 5s;
+    const Row Rows[] = {
+        {"the store answers the first call", 0, true, 200ms, 1},
+        {"it is silent for a moment", 1, true, 700ms, 4},
+        {"it is silent for longer", 3, true, 1400ms, 7},
+        {"it stays silent", 100, true, 2s, 8},
+        {"the process needs nothing", 1, false, 2s, 1},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      ScriptedStore Script;
+      Script.m_Answers.assign(static_cast<std::size_t>(Case.m_SilentCalls),
+                              {Silent});
+      auto Port = Script.m_Server.start("127.0.0.1", 0);
+      REQUIRE(Port);
+      PlatformStore Store(Script.m_Io, Script.m_Counters, "127.0.0.1",
+                          "127.0.0.1:" + std::to_string(Port.value()));
+      Time StartedAt = now();
+      auto Read = [&]() -> asio::awaitable<void> {
+        co_await Store.readRange("op/");
+        Script.m_Io.stop();
+      };
+      spawn(Script.m_Io, Read());
+      spawn(Script.m_Io, Store.probeWhile([&] { return Case.m_Needed; }));
+      Script.m_Io.run_for(std::chrono::seconds(3));
+      CHECK(now() - StartedAt < Case.m_EndsBefore);
+      CHECK(Script.m_Calls <= Case.m_MaxCalls);
+    }
+  }
 }
