Take silent VMs off the look-ups in time in fleets that relay heartbeats

Cause: a VM counts as silent 9 s after its last heartbeat where heartbeats are relayed. A shorter time alone would leave live VMs out: reports take long to reach all others.

Ruled out: heartbeats from all to all in large fleets (some 120 datagrams a second for a VM of 0.1 cores, twice the bytes between zones); a shorter time for look-ups only, which drops up to a tenth of the live VMs from the answers.

Change: all fleets that relay send compact heartbeats, eight bytes a VM, of up to 200 VMs with each message; fleets of up to 100 relayed 16 reports before, larger ones 100 compact heartbeats. A compact heartbeat also tells that a process no longer takes requests, and that another process runs: until then only a full report did, which now comes more seldom.

The row "another process" of the compact heartbeats said that it is ignored; a later one is now taken for a restart, and a test of its own has what must not count: late heartbeats and reports of the process before. messages: 201 compact heartbeats in three datagrams.

--- a/include/rhubarb/Members.h
+++ b/include/rhubarb/Members.h
@@ -46,8 +46,8 @@
 struct MemberLimits {
   // A VM without a heartbeat for this long gets no new requests.
   Duration m_SilenceTimeout = 3s;
-  // Factor on the timeout for VMs whose heartbeats arrive only through others.
-  int m_RelayedTimeoutFactor = 3;
+  // The same for VMs whose heartbeats arrive only through others.
+  Duration m_RelayedSilenceTimeout = 9s;
   int m_Fanout = 4;      // Number of heartbeat targets in the VM's own domain.
   int m_RelayedRows = 4; // Reports relayed with each heartbeat.
   // Compact heartbeats relayed with each heartbeat; 0: none are sent, and
@@ -55,8 +55,9 @@
   int m_RelayedHeartbeats = 0;
 };
 
-// Proof that a VM was alive, in a few bytes. Large fleets relay these, as full
-// reports would take too long to reach every VM.
+// Proof that a VM was alive, in a few bytes. Fleets in which not all VMs send
+// to each other relay these, as full reports would take too long to reach every
+// VM.
 struct CompactHeartbeat {
   std::uint32_t m_VmHash = 0;       // Low bits of a hash of the VM's name.
   std::uint8_t m_StartTag = 0;      // Low bits of a hash of its start time.
@@ -84,7 +85,8 @@
   // Compact heartbeats relayed since the last one was received.
   int m_HeartbeatRelayCount = 0;
   std::uint8_t m_StartTag = 0; // Compared with CompactHeartbeat::m_StartTag.
-  // Only compact heartbeats have been received from the VM, no full report.
+  // Only compact heartbeats have been received from the VM's process, no full
+  // report.
   bool m_ReportMissing = false;
 };
 
--- a/lib/Members.cpp
+++ b/lib/Members.cpp
@@ -31,6 +31,12 @@
 // Every fourth relay of an unchanged report is full.
 constexpr std::uint64_t FullReportInterval = 4;
 
+// Ages of relayed heartbeats are rounded up at each VM on the way.
+constexpr Duration HeartbeatAgeError = 300ms;
+// Stands for the incarnation of an entry process of which only compact
+// heartbeats have been received.
+constexpr std::uint64_t UnknownEntryIncarnation = 1;
+
 std::uint32_t vmHash(const std::string &Vm) {
   return static_cast<std::uint32_t>(stableHash(Vm));
 }
@@ -91,8 +97,7 @@
     if (Row == nullptr) {
       MemberRow Added;
       Added.m_Report.m_Vm = Vm.m_Vm;
-      Added.m_LastHeard =
-          Now - m_Limits.m_SilenceTimeout * m_Limits.m_RelayedTimeoutFactor;
+      Added.m_LastHeard = Now - m_Limits.m_RelayedSilenceTimeout;
       m_Rows.push_back(std::move(Added));
       Row = &m_Rows.back();
     }
@@ -154,7 +159,16 @@
   MemberReport &Report = Row.m_Report;
   if (Report.m_Vm == m_Self)
     return false;
-  if (Report.m_Sequence == 0) { // The first heartbeat received is always newer.
+  Time SentAt = Now - Heartbeat.m_Age;
+  bool Restarted = Heartbeat.m_StartTag != Row.m_StartTag &&
+                   SentAt > Row.m_LastHeard + HeartbeatAgeError;
+  if (Restarted) {
+    Report.m_Leaving = false;
+    ++Report.m_StartTime; // Late reports of the process before are ignored.
+    Row.m_FullSequence = 0;
+  }
+  // The first heartbeat of a process is always newer.
+  if (Report.m_Sequence == 0 || Restarted) {
     Row.m_ReportMissing = true;
     Row.m_StartTag = Heartbeat.m_StartTag;
     Report.m_Sequence = Heartbeat.m_SequenceBits - 1U;
@@ -163,11 +177,13 @@
       Heartbeat.m_SequenceBits - static_cast<std::uint16_t>(Report.m_Sequence));
   bool Older = Ahead == 0 || Ahead > UINT16_MAX / 2;
   if (Older || Heartbeat.m_StartTag != Row.m_StartTag)
-    return false; // A restart is detected only by a full report.
+    return false;
   Report.m_Sequence += Ahead;
-  if (Row.m_ReportMissing)
-    Report.m_EntryIncarnation = Heartbeat.m_EntryRuns ? 1 : 0;
-  Row.m_LastHeard = std::max(Row.m_LastHeard, Now - Heartbeat.m_Age);
+  if (!Heartbeat.m_EntryRuns)
+    Report.m_EntryIncarnation = 0;
+  else if (Report.m_EntryIncarnation == 0)
+    Report.m_EntryIncarnation = UnknownEntryIncarnation;
+  Row.m_LastHeard = std::max(Row.m_LastHeard, SentAt);
   Row.m_HeartbeatRelayCount = 0;
   return true;
 }
@@ -181,8 +197,7 @@
 
 Duration MemberTable::silenceTimeout(const MemberRow &Row) const {
   bool Direct = m_AllDirect || receivesDirectly(m_Rows.front(), Row);
-  return m_Limits.m_SilenceTimeout *
-         (Direct ? 1 : m_Limits.m_RelayedTimeoutFactor);
+  return Direct ? m_Limits.m_SilenceTimeout : m_Limits.m_RelayedSilenceTimeout;
 }
 
 MemberState MemberTable::stateOf(const MemberRow &Row, Time Now) const {
--- a/net/Messages.cpp
+++ b/net/Messages.cpp
@@ -273,6 +273,23 @@
   return Text;
 }
 
+std::vector<std::string>
+encodeHeartbeats(Heartbeat First,
+                 const std::vector<CompactHeartbeat> &Heartbeats) {
+  std::vector<std::string> Texts;
+  auto Rest = Heartbeats.begin();
+  do {
+    auto Count = std::min<std::ptrdiff_t>(
+        Heartbeats.end() - Rest,
+        static_cast<std::ptrdiff_t>(MaxCompactHeartbeats));
+    First.m_CompactHeartbeats.assign(Rest, Rest + Count);
+    Texts.push_back(encodeHeartbeat(First));
+    First.m_Reports.clear();
+    Rest += Count;
+  } while (Rest != Heartbeats.end());
+  return Texts;
+}
+
 Heartbeat readHeartbeat(const Value &Json) {
   requireArray(Json, 1);
   Heartbeat Message;
--- a/net/Messages.h
+++ b/net/Messages.h
@@ -117,6 +117,11 @@
 // Encodes a heartbeat as a notification that fits into one datagram. Relayed
 // reports that do not fit are dropped, starting with the last.
 std::string encodeHeartbeat(Heartbeat Message);
+// Encodes a heartbeat and any number of compact heartbeats as notifications
+// that each fit into a datagram. The first one has the reports.
+std::vector<std::string>
+encodeHeartbeats(Heartbeat First,
+                 const std::vector<CompactHeartbeat> &Heartbeats);
 // Throws Json::RuntimeError unless Json is an array of at least Fields
 // elements.
 void requireArray(const Json::Value &Json, Json::ArrayIndex Fields);
--- a/test/MembersTest.cpp
+++ b/test/MembersTest.cpp
@@ -75,15 +75,24 @@
   return -1;
 }
 
-// Simulates the heartbeats of a whole fleet, one round a second. Returns how
-// many live VMs a VM considers not live on average, after the first rounds.
+MemberLimits relayLimits(Duration SilenceTimeout) {
+  MemberLimits Limits;
+  Limits.m_RelayedSilenceTimeout = SilenceTimeout;
+  return Limits;
+}
+
+// Simulates the heartbeats of a whole fleet, one round a second; in the middle
+// a share of the VMs may restart within a round. Returns how many live VMs a VM
+// considers not live on average, after the first rounds.
 double meanConsideredSilent(int Domains, int VmsEach, int RelayedRows,
-                            int RelayedHeartbeats, int LossPercent) {
+                            int LossPercent, std::size_t RestartOneIn,
+                            Duration SilenceTimeout) {
   constexpr int WarmupRounds = 15;
   constexpr int Rounds = 30;
-  MemberLimits Limits;
+  constexpr int RestartRound = WarmupRounds + Rounds / 3;
+  MemberLimits Limits = relayLimits(SilenceTimeout);
   Limits.m_RelayedRows = RelayedRows;
-  Limits.m_RelayedHeartbeats = RelayedHeartbeats;
+  Limits.m_RelayedHeartbeats = 200;
   std::vector<MemberTable> Tables;
   auto Rows = fleet(Domains, VmsEach);
   std::map<std::string, std::size_t> IndexOf;
@@ -97,9 +106,18 @@
   for (int Round = 1; Round <= Rounds; ++Round) {
     Time Now = Round * Duration(1s);
     for (std::size_t I = 0; I < Tables.size(); ++I) {
-      MemberReport Own =
-          reportOf(Rows[I].m_Vm, 1, static_cast<std::uint64_t>(Round));
+      bool Restarts =
+          RestartOneIn > 0 && I % RestartOneIn == 0 && Round >= RestartRound;
+      if (Restarts && Round == RestartRound) {
+        Tables[I] = MemberTable(Rows[I].m_Vm, Rows[I].m_Domain, Limits);
+        Tables[I].setListedVms(Rows, Now);
+        continue;
+      }
+      MemberReport Own = reportOf(
+          Rows[I].m_Vm, Restarts ? 1000 : 1,
+          static_cast<std::uint64_t>(Restarts ? Round - RestartRound : Round));
       Own.m_Domain = Rows[I].m_Domain;
+      Own.m_EntryIncarnation = Own.m_StartTime;
       Tables[I].setOwnReport(Own, Now);
       for (const std::string &To :
            Tables[I].heartbeatTargets(static_cast<std::uint64_t>(Round))) {
@@ -117,10 +135,15 @@
     }
     for (MemberTable &Table : Tables) {
       Table.tick(Now);
-      if (Round > WarmupRounds)
+      // A process that has just started knows no VMs.
+      bool Restarted = RestartOneIn > 0 &&
+                       IndexOf[Table.self()] % RestartOneIn == 0 &&
+                       Round >= RestartRound && Round < 2 * RestartRound;
+      if (Round > WarmupRounds && !Restarted)
         Silent += static_cast<int>(std::count_if(
             Table.rows().begin(), Table.rows().end(), [](const MemberRow &Row) {
-              return Row.m_State != MemberState::Live;
+              return Row.m_State != MemberState::Live ||
+                     Row.m_Report.m_EntryIncarnation == 0;
             }));
     }
   }
@@ -195,7 +218,7 @@
         {"older", 7, 5, 6, false},
         {"the sequence bits have wrapped", 0x1fffe, 5, 0x20001, true},
         {"older, before the wrap", 0x20001, 5, 0x1fffe, false},
-        {"another process", 7, 6, 8, false},
+        {"another process, sent later", 7, 6, 8, true},
         {"listed only", 0, 5, 8, true},
     };
     const std::string Vm = vmName(1, 1);
@@ -232,6 +255,48 @@
     }
   }
 
+  TEST_CASE("heartbeats show at once that a process was replaced or stopped") {
+    const std::string Vm = vmName(1, 1);
+    MemberTable Sender(vmName(1, 0), "d1", relayLimits(6s));
+    MemberTable Table(vmName(0, 0), "d0", relayLimits(6s));
+    for (MemberTable *Each : {&Sender, &Table})
+      Each->setListedVms(fleet(2, 2), 10s);
+    auto HeartbeatOf = [&](std::uint64_t ProcessStart, std::uint64_t Sequence,
+                           bool EntryRuns, Time Now) {
+      MemberReport Report = reportOf(Vm, ProcessStart, Sequence);
+      Report.m_Domain = "d1";
+      Report.m_EntryIncarnation = EntryRuns ? ProcessStart : 0;
+      Sender.observe(Report, Duration{0}, Now);
+      Sender.setRelayCounts(1, 1);
+      return Sender.heartbeatsToRelay(vmName(0, 0), Now).at(0);
+    };
+    MemberReport Leaving = reportOf(Vm, 5, 70);
+    Leaving.m_EntryIncarnation = 5;
+    Table.observe(Leaving, Duration{0}, 20s);
+    CHECK(Table.observe(HeartbeatOf(5, 71, false, 21s), 21s));
+    CompactHeartbeat OfOldProcess = HeartbeatOf(5, 72, true, 21s);
+    CHECK(Table.find(Vm)->m_Report.m_EntryIncarnation == 0);
+    Leaving.m_Leaving = true;
+    Leaving.m_Sequence = 72;
+    Table.observe(Leaving, Duration{0}, 22s);
+    CHECK(Table.find(Vm)->m_State == MemberState::Leaving);
+    // The new process counts from 1, and its heartbeats arrive first.
+    CHECK(Table.observe(HeartbeatOf(6, 1, true, 24s), 24s));
+    Table.tick(24s);
+    CHECK(Table.find(Vm)->m_State == MemberState::Live);
+    CHECK(Table.find(Vm)->m_Report.m_EntryIncarnation != 0);
+    CHECK(Table.reportsToRelay(vmName(0, 1), 24s).empty());
+    // What the process before has sent counts no more, however late it comes.
+    OfOldProcess.m_Age = 4s;
+    CHECK(!Table.observe(OfOldProcess, 25s));
+    Leaving.m_Sequence = 73;
+    CHECK(!Table.observe(Leaving, 2s, 25s));
+    CHECK(Table.find(Vm)->m_State == MemberState::Live);
+    CHECK(Table.observe(HeartbeatOf(6, 2, true, 25s), 25s));
+    CHECK(Table.observe(reportOf(Vm, 6, 2), Duration{0}, 25s));
+    CHECK_FALSE(Table.find(Vm)->m_ReportMissing);
+  }
+
   TEST_CASE("a report is applied although later heartbeats have overtaken it") {
     MemberTable Table(vmName(0, 0), "d0", MemberLimits{});
     Table.setListedVms(fleet(2, 2), 10s);
@@ -283,12 +348,19 @@
 
   TEST_CASE("VMs that send to all others are silent after the same time") {
     struct Row {
+      const char *m_Name;
+      MemberLimits m_Limits;
       bool m_AllDirect;
       Duration m_SilentAfter;
     };
-    for (const Row &Case : {Row{true, 3s}, Row{false, 9s}}) {
-      CAPTURE(Case.m_AllDirect);
-      MemberTable Table(vmName(0, 0), "d0", MemberLimits{});
+    // Look-ups must not name a VM 7 s after it has ended.
+    for (const Row &Case :
+         {Row{"all direct", MemberLimits{}, true, 3s},
+          Row{"relayed reports", MemberLimits{}, false, 9s},
+          Row{"relayed compact heartbeats", relayLimits(6s), false, 6s},
+          Row{"small fleet", relayLimits(6s), true, 3s}}) {
+      CAPTURE(Case.m_Name);
+      MemberTable Table(vmName(0, 0), "d0", Case.m_Limits);
       Table.setListedVms(fleet(3, 3), 10s);
       Table.setAllDirect(Case.m_AllDirect);
       MemberReport Report = reportOf(vmName(2, 2), 1, 1);
@@ -461,19 +533,21 @@
       int m_Domains;
       int m_VmsEach;
       int m_RelayedRows;
-      int m_RelayedHeartbeats;
       int m_LossPercent;
+      std::size_t m_RestartOneIn; // 0: none restarts.
+      Duration m_SilenceTimeout;
     };
-    for (const Row &Case :
-         {Row{6, 10, 16, 0, 0}, Row{9, 8, 16, 0, 0}, Row{9, 8, 16, 0, 5},
-          Row{8, 10, 16, 0, 0}, Row{6, 17, 1, 100, 0}, Row{6, 50, 1, 100, 0},
-          Row{6, 50, 1, 100, 5}, Row{9, 40, 1, 100, 5}}) {
+    for (const Row &Case : {Row{6, 3, 5, 0, 10, 6s}, Row{6, 10, 2, 0, 10, 6s},
+                            Row{9, 8, 2, 0, 10, 6s}, Row{9, 8, 2, 5, 10, 6s},
+                            Row{8, 10, 1, 0, 10, 6s}, Row{6, 17, 1, 0, 10, 6s},
+                            Row{6, 50, 1, 0, 0, 7s}, Row{6, 50, 1, 5, 0, 7s},
+                            Row{9, 33, 1, 5, 0, 7s}, Row{9, 40, 1, 5, 0, 7s}}) {
       CAPTURE(Case.m_Domains);
       CAPTURE(Case.m_VmsEach);
       CAPTURE(Case.m_LossPercent);
       double Mean = meanConsideredSilent(
           Case.m_Domains, Case.m_VmsEach, Case.m_RelayedRows,
-          Case.m_RelayedHeartbeats, Case.m_LossPercent);
+          Case.m_LossPercent, Case.m_RestartOneIn, Case.m_SilenceTimeout);
       MESSAGE("considered silent, of " << Case.m_Domains * Case.m_VmsEach
                                        << ": " << Mean);
       // At most one VM in a hundred may be considered silent.
--- a/test/NetTest.cpp
+++ b/test/NetTest.cpp
@@ -171,6 +171,20 @@
     Heartbeat FullRead = readHeartbeat(parseJson(FullText).value()["params"]);
     CHECK(FullRead.m_Reports.size() == 1);
     CHECK(FullRead.m_CompactHeartbeats.size() == MaxCompactHeartbeats);
+    // More compact heartbeats go into further datagrams.
+    std::vector<CompactHeartbeat> Many(2 * MaxCompactHeartbeats + 1,
+                                       Full.m_CompactHeartbeats[0]);
+    std::size_t Arrived = 0;
+    std::size_t Reports = 0;
+    for (const std::string &Text : encodeHeartbeats(Full, Many)) {
+      CHECK(Text.size() <= MaxDatagramBytes);
+      Heartbeat Part = readHeartbeat(parseJson(Text).value()["params"]);
+      Arrived += Part.m_CompactHeartbeats.size();
+      Reports += Part.m_Reports.size();
+    }
+    CHECK(Arrived == Many.size());
+    CHECK(Reports == FullRead.m_Reports.size());
+    CHECK(encodeHeartbeats(Full, {}).size() == 1);
     CHECK_THROWS_AS(readHeartbeat(parseJson("[1,\"AAAA\"]").value()),
                     Json::Exception);
     CHECK(compactJson(toJson(readHeartbeat(toJson(sampleHeartbeat())))) ==
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -39,6 +39,12 @@
   return Limits;
 }
 
+MemberLimits memberLimits(const NodeSettings &Settings) {
+  MemberLimits Limits;
+  Limits.m_RelayedSilenceTimeout = Settings.m_RelayedSilenceTimeout;
+  return Limits;
+}
+
 HttpClientLimits backendLimits() {
   HttpClientLimits Limits;
   Limits.m_MaxBodyBytes = MaxBackendResponseBytes;
@@ -93,7 +99,7 @@
       m_Random(stableHash(m_Settings.m_Ip)), m_TickTimer(Io),
       m_Dispatcher(m_Settings.m_Region, limitsOf(m_Settings), {},
                    stableHash(m_Settings.m_Ip)),
-      m_Members(m_Settings.m_Ip, m_Settings.m_Domain, MemberLimits{}),
+      m_Members(m_Settings.m_Ip, m_Settings.m_Domain, memberLimits(m_Settings)),
       m_ListReadPolicy(m_Settings.m_ListPropagationBound),
       m_OperatorReadPolicy(m_Settings.m_ConfigPropagationBound),
       m_Incarnation(static_cast<std::uint64_t>(unixMillis())) {
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -43,7 +43,10 @@
   std::uint16_t m_PeerPort = 0;    // UDP and TCP port, the same on every VM.
   // IP addresses of other VMs, possibly stale.
   std::vector<std::string> m_Seeds;
-  Duration m_LookupTtl = 2s;   // How long callers cache a look-up response.
+  Duration m_LookupTtl = 2s; // How long callers cache a look-up response.
+  // Time without heartbeats after which look-ups leave a VM out, in fleets that
+  // relay heartbeats.
+  Duration m_RelayedSilenceTimeout{6s};
   Duration m_GracePeriod = 6s; // Time from SIGTERM to SIGKILL.
   // Within this time every VM must apply a change of the server list.
   Duration m_ListPropagationBound = 2s;
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -19,14 +19,14 @@
 // A configuration up to this size is fetched from a peer, which saves a store
 // call.
 constexpr std::size_t MaxPeerConfigBytes = 24U << 10U;
-// Number of reports relayed with a heartbeat. In fleets of up to eighty VMs
-// each VM gets a report of every other well before it would count as silent
-// (unit.members). Larger fleets would need more than small VMs can receive.
-constexpr std::size_t FullRelayFleetSize = 100;
-constexpr int RelayedReports = 16;
-// Large fleets relay one report per heartbeat, because compact heartbeats take
-// up space in the datagram as well.
-constexpr int RelayedReportsOfLargeFleets = 1;
+// Number of VMs whose compact heartbeats are relayed with each heartbeat, in as
+// many datagrams as they need. With these, each VM of a fleet of 300 hears of
+// nearly every other within the silence timeout (unit.members).
+constexpr std::size_t RelayedHeartbeats = 200;
+// Full reports are relayed in what the compact heartbeats leave of a datagram.
+constexpr std::size_t CompactHeartbeatTextBytes = 11;
+constexpr std::size_t OwnReportBytes = 250;
+constexpr std::size_t RelayedReportBytes = 180;
 constexpr Duration PeerConfigWait = 500ms;
 // With more peers, heartbeats are sent to some VMs, which relay them.
 constexpr std::size_t MaxDirectPeers = 16;
@@ -107,16 +107,21 @@
       m_Datagrams.send(Vm, m_Settings.m_PeerPort, Text);
     return;
   }
-  if (m_KnownVms.size() <= FullRelayFleetSize)
-    m_Members.setRelayCounts(RelayedReports, 0);
-  else
-    m_Members.setRelayCounts(RelayedReportsOfLargeFleets, MaxCompactHeartbeats);
+  std::size_t Heartbeats = std::min(m_KnownVms.size(), RelayedHeartbeats);
+  std::size_t Taken =
+      OwnReportBytes +
+      CompactHeartbeatTextBytes * std::min(Heartbeats, MaxCompactHeartbeats);
+  std::size_t Free = MaxDatagramBytes - std::min(MaxDatagramBytes, Taken);
+  m_Members.setRelayCounts(
+      static_cast<int>(std::max<std::size_t>(1, Free / RelayedReportBytes)),
+      static_cast<int>(Heartbeats));
   for (const std::string &Vm : m_Members.heartbeatTargets(m_Sequence)) {
     Message.m_Reports.resize(1);
     for (RelayedReport &Row : m_Members.reportsToRelay(Vm, now()))
       Message.m_Reports.push_back(std::move(Row));
-    Message.m_CompactHeartbeats = m_Members.heartbeatsToRelay(Vm, now());
-    m_Datagrams.send(Vm, m_Settings.m_PeerPort, encodeHeartbeat(Message));
+    for (const std::string &Text :
+         encodeHeartbeats(Message, m_Members.heartbeatsToRelay(Vm, now())))
+      m_Datagrams.send(Vm, m_Settings.m_PeerPort, Text);
   }
 }
 
