Watch the fleet for thirteen rounds after VMs restart in the model of members

The model restarted a tenth of the VMs in round 25 of 30 and left the restarted ones out until the end, so that a silence of 6 s hardly had time to show. They now restart in round 17 and count as observers again 8 rounds later.

--- a/test/MembersTest.cpp
+++ b/test/MembersTest.cpp
@@ -89,7 +89,9 @@
                             Duration SilenceTimeout) {
   constexpr int WarmupRounds = 15;
   constexpr int Rounds = 30;
-  constexpr int RestartRound = WarmupRounds + Rounds / 3;
+  constexpr int RestartRound = WarmupRounds + 2;
+  // A process that has just started knows no VMs.
+  constexpr int StartRounds = 8;
   MemberLimits Limits = relayLimits(SilenceTimeout);
   Limits.m_RelayedRows = RelayedRows;
   Limits.m_RelayedHeartbeats = 200;
@@ -135,11 +137,10 @@
     }
     for (MemberTable &Table : Tables) {
       Table.tick(Now);
-      // A process that has just started knows no VMs.
-      bool Restarted = RestartOneIn > 0 &&
-                       IndexOf[Table.self()] % RestartOneIn == 0 &&
-                       Round >= RestartRound && Round < 2 * RestartRound;
-      if (Round > WarmupRounds && !Restarted)
+      bool Starting =
+          RestartOneIn > 0 && IndexOf[Table.self()] % RestartOneIn == 0 &&
+          Round >= RestartRound && Round < RestartRound + StartRounds;
+      if (Round > WarmupRounds && !Starting)
         Silent += static_cast<int>(std::count_if(
             Table.rows().begin(), Table.rows().end(), [](const MemberRow &Row) {
               return Row.m_State != MemberState::Live ||
