--- a/include/rhubarb/Listing.h
+++ b/include/rhubarb/Listing.h
@@ -48,6 +48,8 @@
   // sorted by ID. Valid until the table changes.
   std::vector<const ListingRow *> rowsAfter(std::uint64_t Change) const;
   std::vector<BackendInfo> entries() const;
+  // Returns the row or tombstone of a server, or nullptr.
+  const ListingRow *find(const std::string &Id) const;
   // Returns the rows and tombstones that changed within the last Period.
   std::vector<ListingRow> recentChanges(Duration Period, Time Now) const;
   // Returns the changes with higher numbers than Change, earliest first: of
--- a/lib/Listing.cpp
+++ b/lib/Listing.cpp
@@ -117,6 +117,11 @@
   return Listed;
 }
 
+const ListingRow *ListingTable::find(const std::string &Id) const {
+  auto Position = m_Rows.find(Id);
+  return Position == m_Rows.end() ? nullptr : &Position->second;
+}
+
 std::vector<const ListingRow *>
 ListingTable::rowsAfter(std::uint64_t Change) const {
   std::vector<const ListingRow *> Changed;
