--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -32,6 +32,8 @@
   // Start time in Unix milliseconds; 0: not stated. Distinguishes incarnations
   // of a server.
   std::int64_t m_StartTimeMs = 0;
+  // Number of the server's last write to its entry, counted from its start.
+  std::int64_t m_Sequence = 0;
 };
 
 // Load that a server reports in a response. It includes the request that the
--- a/include/rhubarb/Listing.h
+++ b/include/rhubarb/Listing.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include "rhubarb/Fleet.h"
+#include "rhubarb/StorePosition.h"
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,31 +16,48 @@
 // A listed server, or the tombstone of a removed one.
 struct ListingRow {
   BackendInfo m_Listing;
-  std::uint64_t m_Revision = 0; // Store revision of the row's last write.
+  StorePosition m_Position; // Position of the row's last write.
   bool m_Removed = false;
   Time m_ChangedAt{0};
+  // The write may come from the copy that a restored store began with. The
+  // server's own order (start time, sequence) then decides whether it is older
+  // than what is known from the era before.
+  bool m_MayBeCopy = false;
   // Number of the row's last change; numbers count the changes of this table.
   std::uint64_t m_ChangeNumber = 0;
 };
 
 // Replica of the list, by server ID. Of two writes to a row the one with the
-// higher revision wins, whatever the order of arrival.
+// higher position wins, whatever the order of arrival, except that a store
+// restored from a copy does not undo what servers have said since: that a
+// server leaves or is gone. Servers that only the copy lacks stay for a while,
+// in which they can write their entries again.
 class ListingTable {
 public:
   // Applies a write or a removal. Returns whether it changed anything that
   // affects the use of the server.
-  bool put(const BackendInfo &Listing, std::uint64_t Revision, Time Now);
-  bool remove(const std::string &Id, std::uint64_t Revision, Time Now);
-  // Applies the whole list as of Revision: older rows that it lacks are
-  // removed.
-  void replace(const std::vector<ListingRow> &Rows, std::uint64_t Revision,
+  bool put(const BackendInfo &Listing, StorePosition Position, Time Now,
+           bool MayBeCopy = false);
+  bool remove(const std::string &Id, StorePosition Position, Time Now);
+  // Applies another replica's row.
+  bool merge(const ListingRow &Row, Time Now);
+  // Applies the whole list as of Position: older rows that it lacks are
+  // removed, those of an earlier era after some time only.
+  void replace(const std::vector<ListingRow> &Rows, StorePosition Position,
                Time Now);
-  // Records that the table was complete up to Revision at KnownAt.
-  void confirmComplete(std::uint64_t Revision, Time KnownAt);
+  // Records that the table was complete up to Position at KnownAt.
+  void confirmComplete(StorePosition Position, Time KnownAt);
+  // Whether servers that a restored store lacked have had time to write their
+  // entries again, so that another whole list decides which of them are gone.
+  bool needsWholeList(Time Now) const;
   // Drops old tombstones. Cost: linear in the rows.
   void tick(Time Now);
 
-  std::uint64_t revision() const { return m_Revision; }
+  StorePosition position() const { return m_Position; }
+  // Servers that a restored store lacks and that are still used.
+  std::size_t unconfirmed() const { return m_Unconfirmed.size(); }
+  // Servers of which a restored store says something older than is known.
+  std::size_t withheld() const { return m_Withheld.size(); }
   Time knownAt() const { return m_KnownAt; }
   // Hash over the rows; equal for tables with the same servers.
   std::uint64_t digest() const { return m_Digest; }
@@ -60,10 +79,20 @@
   std::vector<ListingRow> rows() const;
 
 private:
-  void storeRow(ListingRow Row);
+  // A server's entry in the copy that a store was restored from, older than
+  // what is known of the server.
+  struct WithheldEntry {
+    BackendInfo m_Listing;
+    Time m_Since{0};
+  };
+  bool storeRow(ListingRow Row);
+  bool withhold(ListingRow &Known, const ListingRow &Copy, Time Now);
 
   std::map<std::string, ListingRow> m_Rows;
-  std::uint64_t m_Revision = 0;
+  StorePosition m_Position;
+  // Servers that a whole list of a new era lacked, and since when.
+  std::map<std::string, Time> m_Unconfirmed;
+  std::map<std::string, WithheldEntry> m_Withheld;
   Time m_KnownAt{0};
   std::uint64_t m_Digest = 0;
   std::uint64_t m_ChangeCount = 0;
--- a/include/rhubarb/Readers.h
+++ b/include/rhubarb/Readers.h
@@ -5,6 +5,7 @@
 // mistake another one for the reader because they receive each other's updates.
 #pragma once
 
+#include "rhubarb/StorePosition.h"
 #include "rhubarb/Types.h"
 
 #include <string>
@@ -57,15 +58,15 @@
   // Records an update from a preceding VM that holds only part of the changes;
   // the rest follows.
   void recordPartialUpdate(Duration Age, Time Now);
-  // Records a revision of the store up to which another VM has all
+  // Records a position of the store up to which another VM has all
   // changes.
-  void recordAnnouncedRevision(std::uint64_t Revision, Time Now);
-  // Records the revision up to which this VM has all changes. If an answer of
+  void recordAnnouncedPosition(StorePosition Position, Time Now);
+  // Records the position up to which this VM has all changes. If an answer of
   // the store held only part of what it lacked, the next read follows
   // without a pause.
-  void recordCompleteRevision(std::uint64_t Revision, Time Now);
+  void recordCompletePosition(StorePosition Position, Time Now);
   // Whether other VMs have announced changes that this VM lacks.
-  bool isBehind() const { return m_AnnouncedRevision > m_CompleteRevision; }
+  bool isBehind() const { return m_AnnouncedPosition > m_CompletePosition; }
   // Whether to fetch the missing changes from a peer, because the store
   // has not returned them in time.
   bool shouldFetchFromPeer(Time Now) const;
@@ -92,8 +93,8 @@
   Time m_StartedAt{0};
   Time m_LastPartialUpdate{0};
   Time m_LastUpdate{0}; // Last fresh update from a VM that precedes this one.
-  std::uint64_t m_AnnouncedRevision = 0;
-  std::uint64_t m_CompleteRevision = 0;
+  StorePosition m_AnnouncedPosition;
+  StorePosition m_CompletePosition;
   // Time when the first missing change was announced, or of the last progress
   // or peer fetch since.
   Time m_BehindSince{0};
--- a/lib/Listing.cpp
+++ b/lib/Listing.cpp
@@ -1,12 +1,16 @@
 #include "rhubarb/Listing.h"
 
 #include <algorithm>
+#include <set>
 
 namespace rhubarb {
 namespace {
 
 // Time to keep a tombstone; longer than an update can be delayed.
 constexpr Duration TombstoneLifetime = 30s;
+// A server that lives has written its entry again this long after the store's
+// return.
+constexpr Duration ReturnTime = 2500ms;
 // A later end of a cold period within this tolerance is no change. The end is
 // computed from the remaining time that the server reports, so it varies with
 // the delay of the report.
@@ -33,78 +37,157 @@
   return Row.m_Removed || Row.m_Listing.m_Leaving;
 }
 
+// Compares two entries by what the server says of itself.
+std::strong_ordering serverOrder(const BackendInfo &A, const BackendInfo &B) {
+  if (A.m_StartTimeMs != B.m_StartTimeMs)
+    return A.m_StartTimeMs <=> B.m_StartTimeMs;
+  return A.m_Sequence <=> B.m_Sequence;
+}
+
+// Whether a row of a restored store is older than what is known from the era
+// before.
+bool isStaleCopy(const ListingRow &Row, const ListingRow &Known) {
+  if (Row.m_Removed || !Row.m_MayBeCopy)
+    return false;
+  // A removal does not name the server's last sequence. A copy of an entry that
+  // was removed later has no higher revision than the tombstone.
+  if (Known.m_Removed)
+    return Row.m_Listing.m_StartTimeMs <= Known.m_Listing.m_StartTimeMs &&
+           Row.m_Position.m_Revision <= Known.m_Position.m_Revision;
+  return serverOrder(Row.m_Listing, Known.m_Listing) < 0;
+}
+
+// Whether a row is to replace one of the same position. They differ if one
+// replica knows more than the copy that the store was restored from.
+bool outweighs(const ListingRow &Row, const ListingRow &Known) {
+  if (Row.m_Removed != Known.m_Removed)
+    return Row.m_Removed;
+  return !Row.m_Removed && serverOrder(Row.m_Listing, Known.m_Listing) > 0;
+}
+
 } // namespace
 
-void ListingTable::storeRow(ListingRow Row) {
-  ListingRow &Stored = m_Rows[Row.m_Listing.m_Id];
-  bool Absent = Stored.m_Revision == 0;
+bool ListingTable::storeRow(ListingRow Row) {
+  const std::string &Id = Row.m_Listing.m_Id;
+  m_Unconfirmed.erase(Id);
+  m_Withheld.erase(Id);
+  auto [Position, Absent] = m_Rows.try_emplace(Id);
+  ListingRow &Stored = Position->second;
+  if (!Absent && !Row.m_Removed && rowHash(Stored) == rowHash(Row) &&
+      Row.m_Listing.m_ColdUntil <=
+          Stored.m_Listing.m_ColdUntil + ColdUntilTolerance) {
+    Stored.m_Position = Row.m_Position;
+    Stored.m_MayBeCopy = Row.m_MayBeCopy;
+    Stored.m_Listing.m_Sequence = Row.m_Listing.m_Sequence;
+    return false;
+  }
+  bool Changed = !Row.m_Removed || (!Absent && !Stored.m_Removed);
+  if (Row.m_Removed && !Absent) // Keeps the server's start time and sequence.
+    Row.m_Listing = Stored.m_Listing;
   m_Digest ^= (Absent ? 0 : rowHash(Stored)) ^ rowHash(Row);
   Row.m_ChangeNumber = ++m_ChangeCount;
   Stored = std::move(Row);
+  return Changed;
 }
 
-bool ListingTable::put(const BackendInfo &Listing, std::uint64_t Revision,
-                       Time Now) {
-  ListingRow Row{Listing, Revision, false, Now};
-  auto Position = m_Rows.find(Listing.m_Id);
-  if (Position != m_Rows.end()) {
-    ListingRow &Stored = Position->second;
-    if (Stored.m_Revision >= Revision)
-      return false;
-    if (rowHash(Stored) == rowHash(Row) &&
-        Listing.m_ColdUntil <=
-            Stored.m_Listing.m_ColdUntil + ColdUntilTolerance) {
-      Stored.m_Revision = Revision;
-      return false;
-    }
-  }
-  storeRow(std::move(Row));
-  return true;
+// Keeps what is known of a server, though the store says something older since
+// its restore. Later writes of the new era replace it.
+bool ListingTable::withhold(ListingRow &Known, const ListingRow &Copy,
+                            Time Now) {
+  Known.m_Position = Copy.m_Position;
+  Known.m_MayBeCopy = true;
+  m_Unconfirmed.erase(Known.m_Listing.m_Id);
+  m_Withheld.try_emplace(Known.m_Listing.m_Id,
+                         WithheldEntry{Copy.m_Listing, Now});
+  return false;
+}
+
+bool ListingTable::put(const BackendInfo &Listing, StorePosition Position,
+                       Time Now, bool MayBeCopy) {
+  ListingRow Row{Listing, Position, false, Now, MayBeCopy};
+  return merge(Row, Now);
 }
 
-bool ListingTable::remove(const std::string &Id, std::uint64_t Revision,
+bool ListingTable::remove(const std::string &Id, StorePosition Position,
                           Time Now) {
-  auto Position = m_Rows.find(Id);
-  if (Position != m_Rows.end() && Position->second.m_Revision >= Revision)
-    return false;
-  bool Changed = Position != m_Rows.end() && !Position->second.m_Removed;
   ListingRow Row;
-  if (Position != m_Rows.end())
-    Row = Position->second;
   Row.m_Listing.m_Id = Id;
-  Row.m_Revision = Revision;
+  Row.m_Position = Position;
   Row.m_Removed = true;
+  return merge(Row, Now);
+}
+
+bool ListingTable::merge(const ListingRow &Got, Time Now) {
+  ListingRow Row = Got;
   Row.m_ChangedAt = Now;
-  storeRow(std::move(Row));
+  auto Found = m_Rows.find(Row.m_Listing.m_Id);
+  if (Found == m_Rows.end())
+    return storeRow(std::move(Row));
+  ListingRow &Known = Found->second;
+  if (Row.m_Position.m_Era == Known.m_Position.m_Era) {
+    bool Newer = Row.m_Position > Known.m_Position ||
+                 (Row.m_Position == Known.m_Position && outweighs(Row, Known));
+    return Newer && storeRow(std::move(Row));
+  }
+  if (Row.m_Position > Known.m_Position)
+    return isStaleCopy(Row, Known) ? withhold(Known, Row, Now)
+                                   : storeRow(std::move(Row));
+  if (!isStaleCopy(Known, Row))
+    return false;
+  // This replica began with the copy, another one knows more.
+  ListingRow Copy = Known;
+  Row.m_Position = Copy.m_Position;
+  Row.m_MayBeCopy = true;
+  bool Changed = storeRow(std::move(Row));
+  m_Withheld.try_emplace(Copy.m_Listing.m_Id,
+                         WithheldEntry{Copy.m_Listing, Now});
   return Changed;
 }
 
 void ListingTable::replace(const std::vector<ListingRow> &Rows,
-                           std::uint64_t Revision, Time Now) {
-  std::map<std::string, bool> ListedIds;
+                           StorePosition Position, Time Now) {
+  std::set<std::string> ListedIds;
   for (const ListingRow &Row : Rows) {
-    ListedIds[Row.m_Listing.m_Id] = true;
-    if (Row.m_Removed)
-      remove(Row.m_Listing.m_Id, Row.m_Revision, Now);
-    else
-      put(Row.m_Listing, Row.m_Revision, Now);
+    ListedIds.insert(Row.m_Listing.m_Id);
+    m_Unconfirmed.erase(Row.m_Listing.m_Id);
+    merge(Row, Now);
   }
   std::vector<std::string> Missing;
-  for (const auto &[Id, Row] : m_Rows)
-    if (!Row.m_Removed && !ListedIds.contains(Id) && Row.m_Revision < Revision)
-      Missing.push_back(Id);
+  for (const auto &[Id, Row] : m_Rows) {
+    if (Row.m_Removed || ListedIds.contains(Id) || Row.m_Position >= Position)
+      continue;
+    bool Lost = Row.m_Position.m_Era != Position.m_Era;
+    if (Lost &&
+        Now - m_Unconfirmed.try_emplace(Id, Now).first->second <= ReturnTime)
+      continue;
+    Missing.push_back(Id);
+  }
   for (const std::string &Id : Missing)
-    remove(Id, Revision, Now);
+    remove(Id, Position, Now);
 }
 
-void ListingTable::confirmComplete(std::uint64_t Revision, Time KnownAt) {
-  m_Revision = std::max(m_Revision, Revision);
+void ListingTable::confirmComplete(StorePosition Position, Time KnownAt) {
+  m_Position = std::max(m_Position, Position);
   m_KnownAt = std::max(m_KnownAt, KnownAt);
 }
 
+bool ListingTable::needsWholeList(Time Now) const {
+  return std::any_of(
+      m_Unconfirmed.begin(), m_Unconfirmed.end(),
+      [&](const auto &Item) { return Now - Item.second > ReturnTime; });
+}
+
 void ListingTable::tick(Time Now) {
+  std::vector<BackendInfo> Released;
+  for (const auto &[Id, Entry] : m_Withheld)
+    if (Now - Entry.m_Since > TombstoneLifetime)
+      Released.push_back(Entry.m_Listing);
+  for (const BackendInfo &Listing : Released) {
+    m_Withheld.erase(Listing.m_Id);
+    put(Listing, m_Position, Now);
+  }
   std::erase_if(m_Rows, [&](const auto &Item) {
-    return Item.second.m_Removed &&
+    return Item.second.m_Removed && !m_Withheld.contains(Item.first) &&
            Now - Item.second.m_ChangedAt > TombstoneLifetime;
   });
 }
--- a/lib/Readers.cpp
+++ b/lib/Readers.cpp
@@ -74,20 +74,20 @@
   m_LastPartialUpdate = Now;
 }
 
-void StoreReadPolicy::recordAnnouncedRevision(std::uint64_t Revision,
+void StoreReadPolicy::recordAnnouncedPosition(StorePosition Position,
                                               Time Now) {
   if (!isBehind()) {
     m_BehindSince = Now;
     m_CatchingUp = false;
   }
-  m_AnnouncedRevision = std::max(m_AnnouncedRevision, Revision);
+  m_AnnouncedPosition = std::max(m_AnnouncedPosition, Position);
 }
 
-void StoreReadPolicy::recordCompleteRevision(std::uint64_t Revision, Time Now) {
-  if (Revision <= m_CompleteRevision)
+void StoreReadPolicy::recordCompletePosition(StorePosition Position, Time Now) {
+  if (Position <= m_CompletePosition)
     return;
   m_CatchingUp = isBehind();
-  m_CompleteRevision = Revision;
+  m_CompletePosition = Position;
   m_BehindSince = Now;
 }
 
--- a/net/ServerListUpdate.cpp
+++ b/net/ServerListUpdate.cpp
@@ -11,6 +11,11 @@
 // Array positions of the fields that only relayed messages have.
 constexpr Json::ArrayIndex OriginIndex = 11;
 constexpr Json::ArrayIndex ForwardToIndex = 12;
+// Array positions of the fields that tell eras of the store apart; senders of
+// earlier versions omit them.
+constexpr Json::ArrayIndex ListEraIndex = 13;
+constexpr Json::ArrayIndex OperatorEraIndex = 14;
+constexpr Json::ArrayIndex RowOrderIndex = 15;
 // An IP address takes up to 15 characters, two quotes and a comma.
 constexpr std::size_t BytesPerForwardTarget = 18;
 
@@ -24,7 +29,7 @@
   const BackendInfo &Server = Row.m_Listing;
   Value Json(Json::arrayValue);
   Json.append(Server.m_Id);
-  Json.append(static_cast<Json::UInt64>(Row.m_Revision));
+  Json.append(static_cast<Json::UInt64>(Row.m_Position.m_Revision));
   if (Row.m_Removed)
     return Json;
   Json.append(Server.m_Address);
@@ -37,12 +42,30 @@
   return Json;
 }
 
+// Encodes what orders a row beside its revision.
+Value rowOrder(const ListingRow &Row) {
+  Value Json(Json::arrayValue);
+  Json.append(static_cast<Json::UInt64>(Row.m_Position.m_Era));
+  Json.append(static_cast<Json::Int64>(Row.m_Listing.m_StartTimeMs));
+  Json.append(static_cast<Json::Int64>(Row.m_Listing.m_Sequence));
+  Json.append(Row.m_MayBeCopy ? 1 : 0);
+  return Json;
+}
+
+void readRowOrder(const Value &Json, ListingRow &Row) {
+  requireArray(Json, 4);
+  Row.m_Position.m_Era = Json[0].asUInt64();
+  Row.m_Listing.m_StartTimeMs = Json[1].asInt64();
+  Row.m_Listing.m_Sequence = Json[2].asInt64();
+  Row.m_MayBeCopy = Json[3].asInt() != 0;
+}
+
 ListingRow readRow(const Value &Json, Time Now) {
   requireArray(Json, 2);
   ListingRow Row;
   BackendInfo &Server = Row.m_Listing;
   Server.m_Id = Json[0].asString();
-  Row.m_Revision = Json[1].asUInt64();
+  Row.m_Position.m_Revision = Json[1].asUInt64();
   Row.m_Removed = Json.size() == 2;
   if (Row.m_Removed)
     return Row;
@@ -64,10 +87,10 @@
 Value toJson(const ServerListUpdate &Update, Time Now) {
   Value Json(Json::arrayValue);
   Json.append(SchemaVersion);
-  Json.append(static_cast<Json::UInt64>(Update.m_Revision));
+  Json.append(static_cast<Json::UInt64>(Update.m_Position.m_Revision));
   Json.append(static_cast<Json::Int64>(millis(Update.m_Age)));
   Json.append(static_cast<Json::UInt64>(Update.m_Digest));
-  Json.append(static_cast<Json::UInt64>(Update.m_OperatorRevision));
+  Json.append(static_cast<Json::UInt64>(Update.m_OperatorPosition.m_Revision));
   Json.append(static_cast<Json::Int64>(millis(Update.m_OperatorAge)));
   Value Evacuated(Json::arrayValue);
   for (const std::string &Domain : Update.m_EvacuatedDomains)
@@ -80,16 +103,30 @@
   Json.append(Update.m_HasMore ? 1 : 0);
   Json.append(static_cast<Json::UInt64>(Update.m_ConfigRevision));
   Json.append(static_cast<Json::UInt64>(Update.m_ConfigBytes));
+  Json[OriginIndex] = Update.m_Origin;
+  Json[ForwardToIndex] = Value(Json::arrayValue);
+  Json[ListEraIndex] = static_cast<Json::UInt64>(Update.m_Position.m_Era);
+  Json[OperatorEraIndex] =
+      static_cast<Json::UInt64>(Update.m_OperatorPosition.m_Era);
+  Value Orders(Json::arrayValue);
+  for (const ListingRow &Row : Update.m_Rows)
+    Orders.append(rowOrder(Row));
+  Json[RowOrderIndex] = std::move(Orders);
   return Json;
 }
 
-ServerListUpdate readServerListUpdate(const Value &Json, Time Now) {
+ServerListUpdate readServerListUpdate(const Value &Json, Time Now,
+                                      std::uint64_t OwnEra) {
   requireArray(Json, 8);
   ServerListUpdate Update;
-  Update.m_Revision = Json[1].asUInt64();
+  bool NamesEras = Json.size() > RowOrderIndex;
+  Update.m_Position = {NamesEras ? Json[ListEraIndex].asUInt64() : OwnEra,
+                       Json[1].asUInt64()};
   Update.m_Age = std::chrono::milliseconds(Json[2].asInt64());
   Update.m_Digest = Json[3].asUInt64();
-  Update.m_OperatorRevision = Json[4].asUInt64();
+  Update.m_OperatorPosition = {NamesEras ? Json[OperatorEraIndex].asUInt64()
+                                         : OwnEra,
+                               Json[4].asUInt64()};
   Update.m_OperatorAge = std::chrono::milliseconds(Json[5].asInt64());
   requireArray(Json[6], 0);
   for (const Value &Domain : Json[6])
@@ -97,6 +134,12 @@
   requireArray(Json[7], 0);
   for (const Value &Row : Json[7])
     Update.m_Rows.push_back(readRow(Row, Now));
+  for (Json::ArrayIndex I = 0; I < Json[7].size(); ++I) {
+    if (NamesEras)
+      readRowOrder(Json[RowOrderIndex][I], Update.m_Rows[I]);
+    else
+      Update.m_Rows[I].m_Position.m_Era = OwnEra;
+  }
   if (Json.size() > 8) // Older senders omit m_HasMore.
     Update.m_HasMore = Json[8].asInt() != 0;
   if (Json.size() > 10) {
--- a/net/ServerListUpdate.h
+++ b/net/ServerListUpdate.h
@@ -15,13 +15,13 @@
 // State of the sender's list and its recently changed rows (all rows in a full
 // list).
 struct ServerListUpdate {
-  // Revision up to which the sender's list is complete.
-  std::uint64_t m_Revision = 0;
+  // Position up to which the sender's list is complete.
+  StorePosition m_Position;
   // Time since the sender's list was last confirmed as complete.
   Duration m_Age{0};
   std::uint64_t m_Digest = 0; // Digest of all rows of the sender's list.
-  // Revision of the latest operators' change that the sender has.
-  std::uint64_t m_OperatorRevision = 0;
+  // Position of the latest operators' change that the sender has.
+  StorePosition m_OperatorPosition;
   // Time since the operators' changes were last confirmed as complete.
   Duration m_OperatorAge{0};
   // Revision of the sender's configuration in force.
@@ -45,8 +45,10 @@
 
 // Encodes an update. Its times are encoded relative to Now.
 Json::Value toJson(const ServerListUpdate &Update, Time Now);
+// Decodes an update. Positions of senders that name no era belong to OwnEra.
 // Throws Json::Exception if the message is malformed.
-ServerListUpdate readServerListUpdate(const Json::Value &Json, Time Now);
+ServerListUpdate readServerListUpdate(const Json::Value &Json, Time Now,
+                                      std::uint64_t OwnEra = 0);
 // Splits an update into at least one message, with as many rows as fit into
 // MaxBytes altogether. If rows remain, the last message has m_HasMore set, so
 // that the receiver does not treat them as lost. Each message leaves room for
--- a/test/ListingTest.cpp
+++ b/test/ListingTest.cpp
@@ -29,6 +29,9 @@
   return Info;
 }
 
+// A position in the first era.
+StorePosition at(std::uint64_t Revision) { return {1, Revision}; }
+
 // Receivers of the largest relay group, with long addresses.
 const std::vector<std::string> FullGroup(MaxRelayFanout, "10.200.100.100");
 
@@ -43,16 +46,16 @@
       ListingTable Table;
       for (std::uint64_t Revision : Order) {
         if (Revision == 9)
-          Table.remove("a", 9, 1s);
+          Table.remove("a", at(9), 1s);
         else
-          Table.put(server("a", Revision == 7), Revision, 1s);
+          Table.put(server("a", Revision == 7), at(Revision), 1s);
       }
       CHECK(Table.entries().empty());
       CHECK(Table.digest() == 0);
     }
     ListingTable Table;
-    Table.put(server("a", true), 7, 1s);
-    CHECK_FALSE(Table.put(server("a", false), 5, 2s));
+    Table.put(server("a", true), at(7), 1s);
+    CHECK_FALSE(Table.put(server("a", false), at(5), 2s));
     CHECK(Table.entries().front().m_Leaving);
   }
 
@@ -77,25 +80,25 @@
     for (const Row &Case : Rows) {
       CAPTURE(Case.m_Name);
       ListingTable Table;
-      CHECK(Table.put(server("a"), 1, 1s));
+      CHECK(Table.put(server("a"), at(1), 1s));
       BackendInfo Next = server("a");
       Case.m_Edit(Next);
-      CHECK(Table.put(Next, 2, 2s) == Case.m_Changed);
+      CHECK(Table.put(Next, at(2), 2s) == Case.m_Changed);
     }
   }
 
   TEST_CASE("a whole list removes the rows that it lacks, but no newer ones") {
     ListingTable Table;
-    Table.put(server("old"), 3, 1s);
-    Table.put(server("kept"), 4, 1s);
-    Table.put(server("newer"), 12, 1s);
-    Table.replace({{server("kept"), 4, false, 0s}}, 10, 2s);
+    Table.put(server("old"), at(3), 1s);
+    Table.put(server("kept"), at(4), 1s);
+    Table.put(server("newer"), at(12), 1s);
+    Table.replace({{server("kept"), at(4), false, 0s}}, at(10), 2s);
     std::set<std::string> Ids;
     for (const BackendInfo &Info : Table.entries())
       Ids.insert(Info.m_Id);
     CHECK(Ids == std::set<std::string>{"kept", "newer"});
     // A server that restarts under the same ID is listed again.
-    CHECK(Table.put(server("old"), 11, 3s));
+    CHECK(Table.put(server("old"), at(11), 3s));
   }
 
   TEST_CASE("tables with the same servers have the same digest, however they "
@@ -111,30 +114,27 @@
         std::string Id = "s" + std::to_string(Draw.below(8));
         ++Revision;
         if (Draw.below(4) == 0)
-          Reader.remove(Id, Revision, Now);
+          Reader.remove(Id, at(Revision), Now);
         else
-          Reader.put(server(Id, Draw.below(2) == 0), Revision, Now);
-        Reader.confirmComplete(Revision, Now);
+          Reader.put(server(Id, Draw.below(2) == 0), at(Revision), Now);
+        Reader.confirmComplete(at(Revision), Now);
         if (Draw.below(100) < 40)
           continue; // The datagram is lost.
         ServerListUpdate Update;
         Update.m_Rows = Reader.recentChanges(2s, Now);
         Update.m_Digest = Reader.digest();
-        Update.m_Revision = Reader.revision();
+        Update.m_Position = Reader.position();
         Json::Value Sent = toJson(Update, Now);
         ServerListUpdate Received = readServerListUpdate(Sent, Now);
         for (const ListingRow &Row : Received.m_Rows) {
-          if (Row.m_Removed)
-            Follower.remove(Row.m_Listing.m_Id, Row.m_Revision, Now);
-          else
-            Follower.put(Row.m_Listing, Row.m_Revision, Now);
+          Follower.merge(Row, Now);
         }
         if (Received.m_Digest == Follower.digest())
-          Follower.confirmComplete(Received.m_Revision, Now);
+          Follower.confirmComplete(Received.m_Position, Now);
       }
       // After any loss of datagrams, the whole list makes the tables equal.
       if (Follower.digest() != Reader.digest())
-        Follower.replace(Reader.rows(), Reader.revision(), Now);
+        Follower.replace(Reader.rows(), Reader.position(), Now);
       CHECK(Follower.digest() == Reader.digest());
       CHECK(Follower.entries().size() == Reader.entries().size());
     }
@@ -142,8 +142,8 @@
 
   TEST_CASE("tombstones expire without an effect on the digest") {
     ListingTable Table;
-    Table.put(server("a"), 1, 1s);
-    Table.remove("a", 2, 2s);
+    Table.put(server("a"), at(1), 1s);
+    Table.remove("a", at(2), 2s);
     Table.tick(100s);
     CHECK(Table.rows().empty());
     CHECK(Table.digest() == 0);
@@ -166,10 +166,10 @@
       const std::vector<std::string> Receivers(Case.m_Receivers,
                                                "10.200.100.100");
       ServerListUpdate Update;
-      Update.m_Revision = 7;
+      Update.m_Position = {2, 7};
       for (std::size_t I = 0; I < Case.m_Rows; ++I)
         Update.m_Rows.push_back(
-            {server("i-" + std::to_string(I)), 5, false, Time{0}});
+            {server("i-" + std::to_string(I)), at(5), false, Time{0}});
       std::set<std::string> ReceivedIds;
       std::size_t Bytes = 0;
       ServerListUpdateMessages Encoded =
@@ -202,9 +202,9 @@
 
   TEST_CASE("a relayed update arrives unchanged") {
     ServerListUpdate Update;
-    Update.m_Revision = 7;
+    Update.m_Position = {2, 7};
     Update.m_Digest = 99;
-    Update.m_Rows.push_back({server("i-1"), 5, false, Time{0}});
+    Update.m_Rows.push_back({server("i-1"), at(5), false, Time{0}});
     Json::Value Message =
         splitServerListUpdate(Update, 9000, 2, 1s).m_Messages.at(0);
     Result<Json::Value> First = parseJson(
@@ -220,7 +220,24 @@
     CHECK(Received.m_Origin == "10.0.0.1");
     CHECK(Received.m_ForwardTo.empty());
     CHECK(Received.m_Digest == 99);
-    CHECK(Received.m_Rows.size() == 1);
+    CHECK(Received.m_Position == StorePosition{2, 7});
+    REQUIRE(Received.m_Rows.size() == 1);
+    CHECK(Received.m_Rows[0].m_Position == at(5));
+  }
+
+  // VMs of two versions run side by side while an update is rolled out.
+  TEST_CASE("positions of senders that name no era belong to the own era") {
+    ServerListUpdate Update;
+    Update.m_Position = {2, 7};
+    Update.m_OperatorPosition = {2, 6};
+    Update.m_Rows.push_back({server("i-1"), at(5), false, Time{0}});
+    Json::Value Old = toJson(Update, 1s);
+    Old.resize(11); // Earlier versions end with the configuration's size.
+    ServerListUpdate Received = readServerListUpdate(Old, 1s, 4);
+    CHECK(Received.m_Position == StorePosition{4, 7});
+    CHECK(Received.m_OperatorPosition == StorePosition{4, 6});
+    REQUIRE(Received.m_Rows.size() == 1);
+    CHECK(Received.m_Rows[0].m_Position == StorePosition{4, 5});
   }
 
   // Many servers of a large service are added at once. The reader's updates
@@ -251,7 +268,7 @@
         Receivers = std::max(Receivers, Group.m_Receivers.size());
       ListingTable Table;
       for (std::size_t I = 0; I < Case.m_Rows; ++I)
-        Table.put(server("i-" + std::to_string(I)), 5, 1s);
+        Table.put(server("i-" + std::to_string(I)), at(5), 1s);
       PropagationCursor Cursor;
       int Sends = 0;
       while (Cursor.hasPending(Table)) {
@@ -274,11 +291,11 @@
   TEST_CASE("departures are sent before other changes") {
     ListingTable Table;
     for (int I = 0; I < 20; ++I)
-      Table.put(server("new-" + std::to_string(I)), 5, 1s);
+      Table.put(server("new-" + std::to_string(I)), at(5), 1s);
     PropagationCursor Cursor;
     Cursor.markSent(Table, Cursor.pending(Table, 0s, 9s), 5);
-    Table.put(server("leaves", true), 6, 2s);
-    Table.remove("new-7", 7, 2s);
+    Table.put(server("leaves", true), at(6), 2s);
+    Table.remove("new-7", at(7), 2s);
     std::vector<ListingRow> Pending = Cursor.pending(Table, 0s, 9s);
     REQUIRE(Pending.size() == 16);
     CHECK(Pending[0].m_Listing.m_Id == "leaves");
@@ -298,7 +315,7 @@
                     Cursor.pending(Table, 0s, 9s).size());
     CHECK_FALSE(Cursor.hasPending(Table));
     CHECK(Cursor.pending(Table, 0s, 9s).empty());
-    Table.put(server("late"), 9, 3s);
+    Table.put(server("late"), at(9), 3s);
     CHECK(Cursor.pending(Table, 0s, 9s).size() == 1);
     Cursor.markAllSent(Table);
     CHECK(Cursor.pending(Table, 0s, 9s).empty());
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -237,15 +237,18 @@
   TEST_CASE("store responses are parsed") {
     std::string Value = encodeBase64("text");
     auto Range = parseItems(R"({"items":[{"key":"k","value":")" + Value +
-                            R"(","revision":4,"created_rev":4,"lease":0}],)"
-                            R"("has_more":true,"store_revision":9})");
+                                R"(","revision":4,"created_rev":4,"lease":0}],)"
+                                R"("has_more":true,"store_revision":9})",
+                            2);
     REQUIRE(Range);
     REQUIRE(Range.value().m_Items.size() == 1);
     CHECK(Range.value().m_Items[0].m_Value == "text");
     CHECK(Range.value().m_HasMore);
-    CHECK(Range.value().m_Revision == 9);
+    CHECK(Range.value().m_Position == StorePosition{2, 9});
+    CHECK(Range.value().m_Items[0].m_Position == StorePosition{2, 4});
     auto Watch = parseItems(R"({"events":[{"key":"k","revision":5,)"
-                            R"("deleted":true}],"store_revision":5})");
+                            R"("deleted":true}],"store_revision":5})",
+                            2);
     REQUIRE(Watch);
     CHECK(Watch.value().m_Items[0].m_Removed);
     CHECK(parseLeaseId(R"({"lease":77120,"ttl_time":"3000ms"})") == 77120);
@@ -254,14 +257,15 @@
          {"", "{}", R"({"items":[]})", R"({"items":3,"store_revision":1})",
           R"({"items":[{"key":"k"}],"store_revision":1})"}) {
       CAPTURE(Text);
-      CHECK_FALSE(parseItems(Text));
+      CHECK_FALSE(parseItems(Text, 1));
     }
   }
 
   TEST_CASE("an item whose value is not base64 does not affect the others") {
     auto Range = parseItems(
         R"({"items":[{"key":"bad","value":"%%","revision":1},)"
-        R"({"key":"good","value":"eA==","revision":2}],"store_revision":9})");
+        R"({"key":"good","value":"eA==","revision":2}],"store_revision":9})",
+        1);
     REQUIRE(Range);
     REQUIRE(Range.value().m_Items.size() == 2);
     CHECK(Range.value().m_Items[0].m_Value.empty());
--- a/test/ReadersTest.cpp
+++ b/test/ReadersTest.cpp
@@ -205,8 +205,8 @@
     CHECK(Policy.reasonToRead(5, 10s, 12s) == ReadReason::TooOld);
     Policy.recordUpdate(0ms, 10s);
     CHECK(Policy.reasonToRead(0, 10s, 10s) == ReadReason::None);
-    Policy.recordCompleteRevision(3, 10s);
-    Policy.recordAnnouncedRevision(9, 10s);
+    Policy.recordCompletePosition({1, 3}, 10s);
+    Policy.recordAnnouncedPosition({1, 9}, 10s);
     CHECK(Policy.reasonToRead(5, 11s, 11s) == ReadReason::Behind);
     // A VM waits a little longer while changes arrive in parts.
     StoreReadPolicy Waiting(Bound);
@@ -226,8 +226,8 @@
       auto KnownAt = [](Time Now) { return Now - 100ms; };
       Policy.recordUpdate(100ms, AnnouncedAt);
       CHECK(!Policy.shouldRead(Rank, KnownAt(AnnouncedAt), AnnouncedAt));
-      Policy.recordCompleteRevision(7, AnnouncedAt);
-      Policy.recordAnnouncedRevision(20, AnnouncedAt);
+      Policy.recordCompletePosition({1, 7}, AnnouncedAt);
+      Policy.recordAnnouncedPosition({1, 20}, AnnouncedAt);
       Time ReadAt{0};
       Time FetchedAt{0};
       for (Time Now = AnnouncedAt; Now < 7s; Now += Step) {
@@ -243,15 +243,16 @@
       CHECK(FetchedAt > ReadAt);
       CHECK(FetchedAt - AnnouncedAt <= Bound * 3 / 4);
       // After an answer with part of the changes the rest is read at once.
-      Policy.recordCompleteRevision(12, 7s);
+      Policy.recordCompletePosition({1, 12}, 7s);
       CHECK(Policy.isBehind());
       CHECK(Policy.shouldRead(Rank, KnownAt(7s), 7s));
       CHECK(!Policy.shouldFetchFromPeer(7s)); // The store has just answered.
-      Policy.recordCompleteRevision(20, 7s);
+      Policy.recordCompletePosition({1, 20}, 7s);
       CHECK(!Policy.isBehind());
       CHECK(!Policy.shouldRead(Rank, KnownAt(7s), 7s));
       CHECK(!Policy.shouldFetchFromPeer(7s));
-      Policy.recordAnnouncedRevision(19, 8s); // Announced by a delayed update.
+      Policy.recordAnnouncedPosition({1, 19},
+                                     8s); // Announced by a delayed update.
       CHECK(!Policy.isBehind());
     }
   }
--- a/test/StoreTest.cpp
+++ b/test/StoreTest.cpp
@@ -16,6 +16,8 @@
   Duration m_Delay{0};
   Duration m_BodyDelay{0}; // Time from the response's header to its body.
   int m_Status = 200;
+  std::uint64_t m_Era = 0; // 0: the response names none.
+  bool m_HasMore = false;
 };
 
 // A store that answers the calls in the order in which they arrive.
@@ -34,7 +36,12 @@
     ++m_Calls;
     co_await sleepFor(Next.m_Delay);
     HttpResponse Response = jsonResponse(
-        Next.m_Status, R"({"items":[],"has_more":false,"store_revision":5})");
+        Next.m_Status,
+        R"({"items":[{"key":"k","value":"","revision":4}],"has_more":)" +
+            std::string(Next.m_HasMore ? "true" : "false") +
+            R"(,"store_revision":5,"lease":7})");
+    if (Next.m_Era > 0)
+      Response.m_Headers.push_back({EraHeader, std::to_string(Next.m_Era)});
     if (Next.m_BodyDelay.count() > 0) {
       Response.m_BodyStream = std::make_shared<BodyStream>();
       Response.m_BodyStream->m_ReadNext =
@@ -141,4 +148,114 @@
       CHECK(Script.m_Calls <= Case.m_MaxCalls);
     }
   }
+
+  // A restored store gives out revisions again, so that changes were missed.
+  TEST_CASE("responses of two eras are not mixed") {
+    constexpr auto Answer = [](std::uint64_t Era, bool More = false) {
+      return StoreAnswer{0ms, 0ms, 200, Era, More};
+    };
+    struct Row {
+      const char *m_Name;
+      std::vector<StoreAnswer> m_Answers; // The first sets the known era.
+      std::function<asio::awaitable<StoreStatus>(PlatformStore &)> m_Call;
+      StoreStatus m_Status;
+      std::size_t m_Calls;
+    };
+    auto Watch = [](PlatformStore &Store) -> asio::awaitable<StoreStatus> {
+      co_return (co_await Store.watch("op/", {2, 5}, 10ms)).m_Status;
+    };
+    auto Range = [](PlatformStore &Store) -> asio::awaitable<StoreStatus> {
+      StoreResponse Got = co_await Store.readRange("op/");
+      CHECK((Got.m_Status != StoreStatus::Ok ||
+             Got.m_Page.m_Position.m_Era == Store.era()));
+      co_return Got.m_Status;
+    };
+    auto Renew = [](PlatformStore &Store) -> asio::awaitable<StoreStatus> {
+      co_return co_await Store.renewLease({7, 2});
+    };
+    auto Write = [](PlatformStore &Store) -> asio::awaitable<StoreStatus> {
+      co_return co_await Store.writeKey("k", "v", {7, 2});
+    };
+    const Row Rows[] = {
+        {"a watch in the same era",
+         {Answer(2), Answer(2)},
+         Watch,
+         StoreStatus::Ok,
+         2},
+        {"a watch that ends in the next era",
+         {Answer(2), Answer(3)},
+         Watch,
+         StoreStatus::HistoryGone,
+         2},
+        {"a watch after two restores",
+         {Answer(2), Answer(4)},
+         Watch,
+         StoreStatus::HistoryGone,
+         2},
+        {"a late response of the era before",
+         {Answer(3), Answer(2)},
+         Range,
+         StoreStatus::OldEra,
+         2},
+        {"a response that names no era",
+         {Answer(2), Answer(0)},
+         Watch,
+         StoreStatus::Ok,
+         2},
+        {"a refusal that names no era",
+         {Answer(2), StoreAnswer{0ms, 0ms, 503, 0}},
+         Watch,
+         StoreStatus::Refused,
+         2},
+        {"a store without eras",
+         {Answer(0), Answer(0)},
+         Range,
+         StoreStatus::Ok,
+         2},
+        {"pages of two eras are read again",
+         {Answer(2), Answer(2, true), Answer(3), Answer(3)},
+         Range,
+         StoreStatus::Ok,
+         4},
+        {"a lease of the same era",
+         {Answer(2), Answer(2)},
+         Renew,
+         StoreStatus::Ok,
+         2},
+        {"a lease of the era before is not renewed",
+         {Answer(3)},
+         Renew,
+         StoreStatus::NotFound,
+         1},
+        {"a renewal that ends in the next era",
+         {Answer(2), Answer(3)},
+         Renew,
+         StoreStatus::NotFound,
+         2},
+        {"a write with a lease of the era before",
+         {Answer(2), Answer(3)},
+         Write,
+         StoreStatus::NotFound,
+         2},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      ScriptedStore Script;
+      Script.m_Answers = Case.m_Answers;
+      auto Port = Script.m_Server.start("127.0.0.1", 0);
+      REQUIRE(Port);
+      PlatformStore Store(Script.m_Io, Script.m_Counters, "127.0.0.1",
+                          "127.0.0.1:" + std::to_string(Port.value()));
+      StoreStatus Status = StoreStatus::Lost;
+      auto Run = [&]() -> asio::awaitable<void> {
+        co_await Store.readRange("other/");
+        Status = co_await Case.m_Call(Store);
+        Script.m_Io.stop();
+      };
+      spawn(Script.m_Io, Run());
+      Script.m_Io.run_for(std::chrono::seconds(3));
+      CHECK(storeStatusName(Status) == storeStatusName(Case.m_Status));
+      CHECK(Script.m_Calls == Case.m_Calls);
+    }
+  }
 }
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -263,16 +263,16 @@
 }
 
 void Node::applyEvacuated(const std::set<std::string> &Domains,
-                          std::uint64_t Revision) {
-  if (Revision < m_EvacuatedRevision)
+                          StorePosition Position) {
+  if (Position < m_EvacuatedPosition)
     return;
-  m_EvacuatedRevision = Revision;
+  m_EvacuatedPosition = Position;
   if (Domains == m_EvacuatedDomains)
     return;
   logEvent(Severity::Info, "evacuated_domains",
            {{"count", std::to_string(Domains.size())},
             {"first", Domains.empty() ? "" : *Domains.begin()},
-            {"store_revision", std::to_string(Revision)}});
+            {"store_position", positionText(Position)}});
   m_EvacuatedDomains = Domains;
   Duration ColdDuration{0};
   for (const PoolSettings &Pool : m_Routes.config().m_Pools)
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -177,14 +177,14 @@
   // The list of backend servers. The control plane writes to it, then calls
   // listComplete() and listRead().
   ListingTable &serverList() { return m_List; }
-  // Records that the list was complete up to a revision of the control plane.
-  void confirmListComplete(std::uint64_t Revision, Time KnownAt);
+  // Records that the list was complete up to a position of the control plane.
+  void confirmListComplete(StorePosition Position, Time KnownAt);
   // Applies the list and announces it to the VMs of the region.
   void recordListRead(ListReadResult Read);
-  // Records the revision of the operators' last change, the control plane
-  // revision up to which changes are known, and when they were read.
-  void recordOperatorRead(bool Read, std::uint64_t LastChange,
-                          std::uint64_t Complete, Time KnownAt);
+  // Records the position of the operators' last change, the control plane's
+  // position up to which changes are known, and when they were read.
+  void recordOperatorRead(bool Read, StorePosition LastChange,
+                          StorePosition Complete, Time KnownAt);
   // Returns why this VM should read the list or the operators' changes itself:
   // it is the reader of its region, or the reader's updates are missing.
   ReadReason reasonToReadList() const;
@@ -202,7 +202,12 @@
   void logReadReason(const char *What, ReadReason Reason,
                      ReadReason Before) const;
   void applyEvacuated(const std::set<std::string> &Domains,
-                      std::uint64_t Revision);
+                      StorePosition Position);
+  const std::set<std::string> &evacuated() const { return m_EvacuatedDomains; }
+  // All operators' changes up to this position are known here.
+  StorePosition operatorCompletePosition() const {
+    return m_OperatorCompletePosition;
+  }
   // Whether this VM saves the learned state of its region; the reader does.
   bool savesLearnedState() const;
   // Returns the learned state of the region as known to this process.
@@ -285,9 +290,10 @@
   asio::awaitable<HttpResponse> servePeer(HttpRequest Request);
   asio::awaitable<void> fetchConfig(std::string Ip);
   asio::awaitable<void> fetchList(std::string Ip);
+  bool listsStayDifferent(const ServerListUpdate &Update);
   void handleListUpdate(const Json::Value &Params, const std::string &PeerIp);
   void applyListUpdate(const ServerListUpdate &Update);
-  void updateOperatorCompleteRevision();
+  void updateOperatorCompletePosition();
   ServerListUpdate makeListUpdate(std::vector<ListingRow> Rows) const;
   void sendListUpdate();
   std::vector<RelayGroup> updateRelayGroups(RelayShape Shape,
@@ -350,10 +356,9 @@
   LearnedState m_PendingRestore; // Restored state that is not applied yet.
   // Change count of the server list that was applied last.
   std::uint64_t m_AppliedListChanges = 0;
-  // Revision of the operators' last change.
-  std::uint64_t m_OperatorRevision = 0;
-  // All operators' changes up to this revision are known here.
-  std::uint64_t m_OperatorCompleteRevision = 0;
+  StorePosition m_OperatorPosition; // Position of the operators' last change.
+  // All operators' changes up to this position are known here.
+  StorePosition m_OperatorCompletePosition;
   // Time up to which the operators' changes are known.
   Time m_OperatorKnownAt{0};
   // The latest update from a peer, without its server rows.
@@ -371,13 +376,17 @@
   std::uint64_t m_UpdateRound = 0;
   // Tracks which changes of the server list have been announced.
   PropagationCursor m_PropagationCursor;
+  // Digests of the own list and a peer's when they were last seen to change or
+  // to be equal, and when that was.
+  std::pair<std::uint64_t, std::uint64_t> m_DifferentDigests{0, 0};
+  Time m_ListsDifferSince{0};
   bool m_ListIsCurrent = false; // A current full list has been read once.
   Time m_ServerUpdatesSentAt{0};
   Time m_RateLimitUpdatesSentAt{0};
   std::set<std::string> m_UnknownHeaders; // Header names that were logged.
   bool m_ReadFailing = false; // The last read of the control plane failed.
   std::set<std::string> m_EvacuatedDomains;
-  std::uint64_t m_EvacuatedRevision = 0;
+  StorePosition m_EvacuatedPosition;
   std::unordered_map<RequestId, ExchangePtr> m_QueuedExchanges;
   std::unordered_multimap<ServerIndex, ExchangePtr> m_RunningAttempts;
   std::unordered_map<int, RetryBudget> m_RetryBudgets; // Keyed by pool.
--- a/tools/rhubarb-node/NodeLookup.cpp
+++ b/tools/rhubarb-node/NodeLookup.cpp
@@ -44,7 +44,7 @@
   };
   m_Metrics.set("rhubarb_config_revision", {}, static_cast<double>(revision()));
   m_Metrics.set("rhubarb_list_revision", {},
-                static_cast<double>(m_List.revision()));
+                static_cast<double>(m_List.position().m_Revision));
   if (m_List.knownAt().count() > 0) // A list was received, so it has an age.
     m_Metrics.set("rhubarb_list_age_seconds", {},
                   Seconds(now() - m_List.knownAt()));
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -44,6 +44,9 @@
 // Updates about limited servers are sent at most this often for each VM that
 // gets them, which bounds what a VM receives.
 constexpr Duration RateLimitIntervalPerVm = 5ms;
+// VMs whose lists differ for longer exchange them: what one of them knows from
+// before a restore of the store, the store does not tell the other.
+constexpr Duration ListsDifferTime = 1500ms;
 
 } // namespace
 
@@ -74,7 +77,7 @@
   Report.m_EntryIncarnation = isReady() ? m_Incarnation : 0;
   Report.m_Leaving = m_Leaving;
   Report.m_Revision = revision();
-  Report.m_DirectoryIndex = m_List.revision();
+  Report.m_DirectoryIndex = m_List.position().m_Revision;
   const auto &Pools = m_Routes.config().m_Pools;
   for (std::size_t I = 0; I < Pools.size(); ++I) {
     PoolSummary Row;
@@ -189,7 +192,7 @@
   }
   if (m_Hooks.m_ApplyConfig)
     m_Hooks.m_ApplyConfig(Got.m_Response.m_Body);
-  updateOperatorCompleteRevision();
+  updateOperatorCompletePosition();
 }
 
 std::string_view Node::regionOf(const MemberRow &Row) const {
@@ -239,7 +242,7 @@
             {"reason", std::string(readReasonName(Reason))},
             {"before", std::string(readReasonName(Before))},
             {"reader_rank", std::to_string(ownReaderRank())},
-            {"list", std::to_string(m_List.revision())},
+            {"list", positionText(m_List.position())},
             {"list_age_ms", std::to_string((now() - m_List.knownAt()) / 1ms)}});
 }
 
@@ -252,7 +255,7 @@
 
 ReadReason Node::reasonToReadOperator() const {
   bool Behind =
-      m_AnnouncedOperatorUpdate.m_OperatorRevision > m_OperatorCompleteRevision;
+      m_AnnouncedOperatorUpdate.m_OperatorPosition > m_OperatorCompletePosition;
   bool WaitsForPeer =
       fetchesConfigFromPeer(m_AnnouncedOperatorUpdate.m_ConfigBytes) &&
       now() - m_OperatorAnnouncedAt < PeerConfigWait;
@@ -262,9 +265,9 @@
                                            now());
 }
 
-void Node::confirmListComplete(std::uint64_t Revision, Time KnownAt) {
-  m_ListReadPolicy.recordCompleteRevision(Revision, now());
-  m_List.confirmComplete(Revision, KnownAt);
+void Node::confirmListComplete(StorePosition Position, Time KnownAt) {
+  m_ListReadPolicy.recordCompletePosition(Position, now());
+  m_List.confirmComplete(Position, KnownAt);
 }
 
 void Node::recordListRead(ListReadResult Read) {
@@ -282,14 +285,14 @@
     sendListUpdate();
 }
 
-void Node::recordOperatorRead(bool Read, std::uint64_t LastChange,
-                              std::uint64_t Complete, Time KnownAt) {
+void Node::recordOperatorRead(bool Read, StorePosition LastChange,
+                              StorePosition Complete, Time KnownAt) {
   m_ReadFailing = !Read;
   if (!Read)
     return;
-  bool Newer = LastChange > m_OperatorRevision;
-  m_OperatorRevision = std::max(m_OperatorRevision, LastChange);
-  m_OperatorCompleteRevision = std::max(m_OperatorCompleteRevision, Complete);
+  bool Newer = LastChange > m_OperatorPosition;
+  m_OperatorPosition = std::max(m_OperatorPosition, LastChange);
+  m_OperatorCompletePosition = std::max(m_OperatorCompletePosition, Complete);
   m_OperatorKnownAt = KnownAt;
   if (Newer || KnownAt - m_SentOperatorKnownAt >= ListUpdateMinInterval)
     sendListUpdate();
@@ -310,10 +313,10 @@
 
 ServerListUpdate Node::makeListUpdate(std::vector<ListingRow> Rows) const {
   ServerListUpdate Update;
-  Update.m_Revision = m_List.revision();
+  Update.m_Position = m_List.position();
   Update.m_Age = now() - m_List.knownAt();
   Update.m_Digest = m_List.digest();
-  Update.m_OperatorRevision = m_OperatorRevision;
+  Update.m_OperatorPosition = m_OperatorPosition;
   Update.m_ConfigRevision = revision();
   Update.m_ConfigBytes = m_ConfigDocument.m_Text.size();
   Update.m_OperatorAge = now() - m_OperatorKnownAt;
@@ -531,9 +534,26 @@
   }
 }
 
+// Whether a VM and this one have had two different lists for some time, without
+// any change in between that could explain it.
+bool Node::listsStayDifferent(const ServerListUpdate &Update) {
+  std::pair<std::uint64_t, std::uint64_t> Digests{m_List.digest(),
+                                                  Update.m_Digest};
+  if (Update.m_HasMore || Digests.first == Digests.second ||
+      Digests != m_DifferentDigests) {
+    m_DifferentDigests = Digests;
+    m_ListsDifferSince = now();
+  }
+  if (now() - m_ListsDifferSince < ListsDifferTime)
+    return false;
+  m_ListsDifferSince = now();
+  return true;
+}
+
 void Node::handleListUpdate(const Json::Value &Params,
                             const std::string &PeerIp) {
-  ServerListUpdate Update = readServerListUpdate(Params, now());
+  ServerListUpdate Update =
+      readServerListUpdate(Params, now(), m_List.position().m_Era);
   if (!Update.m_ForwardTo.empty())
     forwardTo(Update.m_ForwardTo,
               encodeServerListUpdate(Params, Update.m_Origin));
@@ -554,8 +574,10 @@
       fetchesConfigFromPeer(Update.m_ConfigBytes))
     spawn(m_Io, fetchConfig(Origin));
   if (!Update.m_HasMore)
-    m_ListReadPolicy.recordAnnouncedRevision(Update.m_Revision, now());
-  if (m_ListReadPolicy.shouldFetchFromPeer(now()) && !m_FetchingList) {
+    m_ListReadPolicy.recordAnnouncedPosition(Update.m_Position, now());
+  if ((listsStayDifferent(Update) ||
+       m_ListReadPolicy.shouldFetchFromPeer(now())) &&
+      !m_FetchingList) {
     m_ListReadPolicy.recordPeerFetch(now());
     spawn(m_Io, fetchList(Origin));
   }
@@ -563,39 +585,36 @@
 
 // Once the configuration and the evacuations that a peer announced are applied,
 // this VM has all operators' changes that the peer has read.
-void Node::updateOperatorCompleteRevision() {
-  if (m_AnnouncedOperatorUpdate.m_ConfigRevision == revision() &&
-      m_AnnouncedOperatorUpdate.m_OperatorRevision == m_EvacuatedRevision)
-    m_OperatorCompleteRevision =
-        std::max(m_OperatorCompleteRevision,
-                 m_AnnouncedOperatorUpdate.m_OperatorRevision);
+void Node::updateOperatorCompletePosition() {
+  if (m_AnnouncedOperatorUpdate.m_ConfigRevision <= revision() &&
+      m_AnnouncedOperatorUpdate.m_OperatorPosition == m_EvacuatedPosition)
+    m_OperatorCompletePosition =
+        std::max(m_OperatorCompletePosition,
+                 m_AnnouncedOperatorUpdate.m_OperatorPosition);
 }
 
 // Applies what is newer at a peer. The list counts as complete only if the
 // digests match.
 void Node::applyListUpdate(const ServerListUpdate &Update) {
   for (const ListingRow &Row : Update.m_Rows) {
-    if (Row.m_Removed)
-      m_List.remove(Row.m_Listing.m_Id, Row.m_Revision, now());
-    else
-      m_List.put(Row.m_Listing, Row.m_Revision, now());
+    m_List.merge(Row, now());
   }
   if (Update.m_Digest == m_List.digest())
-    confirmListComplete(Update.m_Revision, now() - Update.m_Age);
+    confirmListComplete(Update.m_Position, now() - Update.m_Age);
   if (m_List.changeCount() != m_AppliedListChanges)
     applyList();
-  if (Update.m_OperatorRevision > m_EvacuatedRevision)
-    applyEvacuated(Update.m_EvacuatedDomains, Update.m_OperatorRevision);
-  if (Update.m_OperatorRevision >=
-      m_AnnouncedOperatorUpdate.m_OperatorRevision) {
-    if (Update.m_OperatorRevision >
-        m_AnnouncedOperatorUpdate.m_OperatorRevision)
+  if (Update.m_OperatorPosition > m_EvacuatedPosition)
+    applyEvacuated(Update.m_EvacuatedDomains, Update.m_OperatorPosition);
+  if (Update.m_OperatorPosition >=
+      m_AnnouncedOperatorUpdate.m_OperatorPosition) {
+    if (Update.m_OperatorPosition >
+        m_AnnouncedOperatorUpdate.m_OperatorPosition)
       m_OperatorAnnouncedAt = now();
     m_AnnouncedOperatorUpdate = Update;
     m_AnnouncedOperatorUpdate.m_Rows.clear();
   }
-  updateOperatorCompleteRevision();
-  if (Update.m_OperatorRevision <= m_OperatorCompleteRevision)
+  updateOperatorCompletePosition();
+  if (Update.m_OperatorPosition <= m_OperatorCompletePosition)
     m_OperatorKnownAt =
         std::max(m_OperatorKnownAt, now() - Update.m_OperatorAge);
 }
@@ -621,12 +640,13 @@
     co_return;
   }
   try {
-    ServerListUpdate Whole = readServerListUpdate(Read.value(), now());
-    m_List.replace(Whole.m_Rows, Whole.m_Revision, now());
+    ServerListUpdate Whole =
+        readServerListUpdate(Read.value(), now(), m_List.position().m_Era);
+    m_List.replace(Whole.m_Rows, Whole.m_Position, now());
     applyListUpdate(Whole);
     logEvent(Severity::Info, "list_from_peer",
              {{"from", Ip},
-              {"revision", std::to_string(Whole.m_Revision)},
+              {"position", positionText(Whole.m_Position)},
               {"entries", std::to_string(Whole.m_Rows.size())},
               {"complete", Whole.m_Digest == m_List.digest() ? "yes" : "no"}});
   } catch (const std::exception &Thrown) {
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -627,7 +627,7 @@
               {"retry_after_ms", millisText(Placed.m_RetryAfter)},
               {"tries", std::to_string(Work.m_TotalAttempts)},
               {"config", std::to_string(Work.m_ConfigRevision)},
-              {"list", std::to_string(m_List.revision())},
+              {"list", positionText(m_List.position())},
               {"list_age_ms", ListAge}});
     return;
   }
@@ -653,7 +653,7 @@
        {"load_age_ms", millisText(Placed.m_LoadAge)},
        {"told_load", Work.m_ReportedLoad ? loadText(*Work.m_ReportedLoad) : ""},
        {"config", std::to_string(Work.m_ConfigRevision)},
-       {"list", std::to_string(m_List.revision())},
+       {"list", positionText(m_List.position())},
        {"list_age_ms", ListAge}});
 }
 
