--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -38,6 +38,7 @@
     {"store_one_way", FaultTarget::Store},
     {"store_restored", FaultTarget::Store},
     {"store_restored_past", FaultTarget::Store},
+    {"store_restored_older", FaultTarget::Store},
     {"server_crash", FaultTarget::Server},
     {"server_drain", FaultTarget::Server},
     {"server_silent", FaultTarget::Server},
@@ -127,8 +128,7 @@
 }
 
 asio::awaitable<void> FaultInjector::inject(std::string Name) {
-  bool Restore = Name == "store_restored" || Name == "store_restored_past";
-  if (Restore) {
+  if (Name.starts_with("store_restored")) {
     if (m_RestoredAt.count() > 0 && now() - m_RestoredAt < RestoreInterval)
       co_return;
     m_RestoredAt = now();
@@ -198,6 +198,10 @@
     co_await restorePast();
     co_return;
   }
+  if (Name == "store_restored_older") {
+    co_await restoreOlder();
+    co_return;
+  }
   if (Name == "store_silent_links") {
     m_Site.storeProxy().silenceOpenConnections();
     co_return;
@@ -249,6 +253,20 @@
   spawn(m_Io, endEvacuation(Domain));
 }
 
+// Restores the store from a copy with an older configuration, and restarts a
+// node, which finds nothing else in the store for some time.
+asio::awaitable<void> FaultInjector::restoreOlder() {
+  constexpr Duration CopyAge = 2500ms;
+  constexpr Duration OlderFor = 11s;
+  co_await sleepFor(CopyAge);
+  m_Site.changeConfig();
+  co_await sleepFor(CopyAge / 2);
+  m_Site.restoreStore(CopyAge, OlderFor);
+  std::size_t Index = m_Random.below(m_Nodes.size());
+  m_Nodes.signal(Index, SIGKILL);
+  m_Site.addNodeDisturbance(Index, now(), now() + RestartTime);
+}
+
 asio::awaitable<void> FaultInjector::endEvacuation(std::string Domain) {
   constexpr Duration EvacuationTime = 16s;
   ++m_Active;
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -27,6 +27,7 @@
   net::asio::awaitable<void> injectStoreFault(std::string Name);
   net::asio::awaitable<void> injectServerFault(std::string Name);
   net::asio::awaitable<void> restorePast();
+  net::asio::awaitable<void> restoreOlder();
   net::asio::awaitable<void> endEvacuation(std::string Domain);
   net::asio::awaitable<void> limitServers(std::size_t Index, bool All);
   net::asio::awaitable<void> injectOperatorFault(std::string Name);
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -176,9 +176,9 @@
       Each.m_Until = now();
 }
 
-void Site::restoreStore(Duration CopyAge) {
+void Site::restoreStore(Duration CopyAge, Duration RewrittenAfter) {
   m_Store.restore(CopyAge);
-  m_RewriteAt = now() + RewriteTime;
+  m_RewriteAt = now() + RewrittenAfter;
 }
 
 void Site::raiseRevision(std::uint64_t Past) {
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -62,7 +62,7 @@
   void setEvacuated(const std::string &Domain, bool Evacuated);
   // Restores the store from a copy. What the copy lacks, or has though it is
   // gone, is written again by operator and servers within RewriteTime.
-  void restoreStore(Duration CopyAge);
+  void restoreStore(Duration CopyAge, Duration RewrittenAfter = RewriteTime);
   // Writes keys of no meaning until the store has passed a revision.
   void raiseRevision(std::uint64_t Past);
   // Restores the store and makes changes, among them a server that leaves and
