Name a request in the lines of its failed attempts

Change: attempt_failed has request=, a hash of method, host, target, credentials and body. No logic changed.

--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -92,6 +92,9 @@
 struct Exchange {
   DispatchRequest m_Dispatch;
   std::string m_TraceId;
+  // Hash of what a request has in common with its repetitions: method, host,
+  // target, credentials and body.
+  std::uint64_t m_Fingerprint = 0;
   bool m_Idempotent = false;
   int m_MaxAttempts = 1;
   Time m_CallerDeadline{0};
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -104,6 +104,17 @@
   return {};
 }
 
+// Hashes what a request has in common with its repetitions. They come from any
+// address; of a streamed body only the first part is known.
+std::uint64_t fingerprint(const HttpRequest &Request) {
+  std::uint64_t Hash = stableHash(Request.m_Method);
+  for (std::string_view Part :
+       {Request.header("Host"), std::string_view(Request.m_Target),
+        Request.header("Authorization"), std::string_view(Request.m_Body)})
+    Hash = stableHash(Part, Hash);
+  return Hash;
+}
+
 std::optional<ReportedLoad> readLoad(std::string_view Text) {
   std::array<int, 3> Parts{};
   std::size_t Count = 0;
@@ -150,6 +161,7 @@
   Work->m_TraceId = Request.header(m_HeaderNames.m_RequestId);
   Work->m_ConfigRevision = revision();
   Work->m_Request = std::move(Request);
+  Work->m_Fingerprint = fingerprint(Work->m_Request);
   if (Work->m_Request.m_Client->m_Closed)
     co_return makeRefusal(*Work, ErrorKind::CallerGone, Duration{0});
   if (revision() == 0)
@@ -550,6 +562,7 @@
            {{"id", Work.m_TraceId},
             {"route", Work.m_Dispatch.m_RouteName},
             {"server", Work.m_LastServer},
+            {"request", std::to_string(Work.m_Fingerprint)},
             {"end", std::string(attemptOutcomeName(Report.m_Outcome))},
             {"error", std::string(errorInfo(Attempt.m_Error).m_Name)},
             {"took_ms", millisText(Report.m_ResponseTime)},
