Send a request to an address at most once

Reported: a server wrote an earlier refusal once more on a kept connection; clients were told 'not run' of requests that ran, or these ran a second time. The id in responses tells requests apart, not two attempts of one. Ruled out: a second attempt at the same server (servers that were tried are never chosen again; the new test holds this too) and responses to other requests (skipped by their id, unit.http). Possible here: two entries with one address, from another writer, or while an address changes hands. Change: servers at the address of a tried one are left out.

--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -157,6 +157,19 @@
   return Snapshot;
 }
 
+// Whether a request was sent to a server, or to another entry for its address:
+// a late response to the first attempt would be read as that to the second.
+bool Dispatcher::isTried(const DispatchRequest &Request,
+                         ServerIndex Index) const {
+  const std::string &Address = m_Fleet.row(Index).m_Info.m_Address;
+  return std::any_of(Request.m_TriedServers.begin(),
+                     Request.m_TriedServers.end(), [&](ServerIndex Tried) {
+                       return Tried == Index ||
+                              (!Address.empty() &&
+                               m_Fleet.row(Tried).m_Info.m_Address == Address);
+                     });
+}
+
 // Returns the servers that may receive the request. When many servers start at
 // once, few processes may send to each while it is cold, and requests that wait
 // for a token would be refused while other servers have free slots. Cold
@@ -169,10 +182,8 @@
   std::vector<Candidate> Eligible;
   auto Add = [&](const std::vector<Candidate> &Servers, auto Filter) {
     for (const Candidate &Server : Servers) {
-      bool Tried = std::find(Request.m_TriedServers.begin(),
-                             Request.m_TriedServers.end(),
-                             Server.m_Server) != Request.m_TriedServers.end();
-      if (!Tried && isRegionAllowed(Request, m_Fleet.row(Server.m_Server)) &&
+      if (!isTried(Request, Server.m_Server) &&
+          isRegionAllowed(Request, m_Fleet.row(Server.m_Server)) &&
           Filter(Server))
         Eligible.push_back(Server);
     }
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -530,6 +530,36 @@
     }
   }
 
+  // A faulty server may write an earlier refusal once more on a kept
+  // connection. Read as the response to a second attempt of the same request,
+  // it would say "not run" of a request that runs.
+  TEST_CASE("a request is sent to an address at most once") {
+    struct Row {
+      const char *m_Name;
+      std::vector<std::string> m_Addresses; // The first one has been tried.
+      bool m_Sent;
+    };
+    for (const Row &Case :
+         {Row{"another server", {"10.0.0.1:80", "10.0.0.2:80"}, true},
+          Row{"no other server", {"10.0.0.1:80"}, false},
+          Row{"another entry for the address",
+              {"10.0.0.1:80", "10.0.0.1:80"},
+              false}}) {
+      CAPTURE(Case.m_Name);
+      Dispatcher Own("r0");
+      std::vector<BackendInfo> Listed;
+      for (const std::string &Address : Case.m_Addresses) {
+        Listed.push_back(server("i-" + std::to_string(Listed.size()), "r0"));
+        Listed.back().m_Address = Address;
+      }
+      Own.fleet().update(Listed, 1s);
+      DispatchRequest Request = requestFor(1, 7, 2s);
+      Request.m_TriedServers = {Own.fleet().find("i-0")};
+      DispatchDecision Made = Own.submit(Request, 2s);
+      CHECK((Made.m_Action == DispatchAction::Send) == Case.m_Sent);
+    }
+  }
+
   TEST_CASE("servers that have reached their rate limit get no requests") {
     struct Row {
       const char *m_Name;
