Test that a response that breaks off within its head is never complete

Reported: a server stopped within the head of its answer and closed; clients got a 200 with an empty or short body. It cannot happen here: a head ends with an empty line, and a connection that ends before it is an incomplete response for the client (502, or another server for safe requests); a body with a length or chunks is complete only with its last byte. Change: a test that breaks off at each byte, with a length, chunked, after an interim response and without a length.

--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -25,11 +25,15 @@
 struct HttpFixture {
   asio::io_context m_Io{1};
   Reachability m_Reach;
-  HttpClient m_Client{m_Io, m_Reach, "127.0.0.1", limits()};
+  HttpClient m_Client;
 
-  static HttpClientLimits limits() {
+  explicit HttpFixture(bool AcceptCloseDelimited = false)
+      : m_Client(m_Io, m_Reach, "127.0.0.1", limits(AcceptCloseDelimited)) {}
+
+  static HttpClientLimits limits(bool AcceptCloseDelimited = false) {
     HttpClientLimits Limits;
     Limits.m_MaxBodyBytes = 1000;
+    Limits.m_AcceptCloseDelimited = AcceptCloseDelimited;
     return Limits;
   }
 
@@ -94,8 +98,8 @@
 }
 
 HttpFailure sendToRaw(std::vector<std::string> Steps, Duration Pause,
-                      Duration Limit) {
-  HttpFixture Fixture;
+                      Duration Limit, bool AcceptCloseDelimited = false) {
+  HttpFixture Fixture(AcceptCloseDelimited);
   tcp::acceptor Acceptor(Fixture.m_Io,
                          {asio::ip::make_address("127.0.0.1"), 0});
   std::string Address =
@@ -199,6 +203,41 @@
     }
   }
 
+  // A server that stopped within the head of its response and closed let
+  // callers get a success with an empty or short body.
+  TEST_CASE("a response that breaks off is never complete") {
+    const std::string Status = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n";
+    struct Row {
+      const char *m_Name;
+      std::string m_Text;
+    };
+    const Row Rows[] = {
+        {"with a length", Status + "Content-Length: 10\r\n\r\n0123456789"},
+        {"the length first",
+         "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nA: b\r\n\r\n0123456789"},
+        {"chunked", Status + "Transfer-Encoding: chunked\r\n\r\n"
+                             "a\r\n0123456789\r\n0\r\n\r\n"},
+        {"without a body", Status + "Content-Length: 0\r\n\r\n"},
+        {"after an interim response", "HTTP/1.1 100 Continue\r\n\r\n" + Status +
+                                          "Content-Length: 2\r\n\r\n01"},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      for (std::size_t Bytes = 0; Bytes < Case.m_Text.size(); ++Bytes) {
+        CAPTURE(Bytes);
+        CHECK(sendToRaw({Case.m_Text.substr(0, Bytes)}, 0ms, 2s) !=
+              HttpFailure::None);
+      }
+      CHECK(sendToRaw({Case.m_Text}, 0ms, 2s) == HttpFailure::None);
+    }
+    // Without a length the connection's end completes a body, but no head.
+    const std::string Unframed = Status + "\r\n";
+    for (std::size_t Bytes = 0; Bytes < Unframed.size(); ++Bytes)
+      CHECK(sendToRaw({Unframed.substr(0, Bytes)}, 0ms, 2s, true) !=
+            HttpFailure::None);
+    CHECK(sendToRaw({Unframed + "0123"}, 0ms, 2s, true) == HttpFailure::None);
+  }
+
   TEST_CASE("refused connections and partitions are connect failures") {
     HttpFixture Fixture;
     Fixture.m_Reach.setBlockedPrefixes({"127.9."});
