Tell of single crashes once, try a convicted request again, count suspects

Cause: after many servers have crashed at once each VM of a large fleet would tell all others three times of each request that ran there; nearly all are cleared by their next run. A wrongly convicted popular request would be refused for as long as it was asked for. Change: counts of one and cleared requests are told once, cleared ones at once; a conviction ends ten minutes after the last crash, and one more crash renews it.

--- a/include/rhubarb/Suspects.h
+++ b/include/rhubarb/Suspects.h
@@ -19,7 +19,8 @@
 struct SuspectLimits {
   int m_MaxCrashes = 3; // From this count on a request is refused.
   Duration m_SuspectedFor = 60s;
-  Duration m_ConvictedFor = 600s; // Since the request was last seen.
+  // Time from the last crash until a convicted request is tried once more.
+  Duration m_ConvictedFor = 600s;
   std::size_t m_MaxRows = 4096;
   // A cleared request is remembered for late messages about its crashes.
   Duration m_ClearedFor = 10s;
@@ -83,7 +84,7 @@
   bool hasNewUpdates() const { return m_HasNewUpdates; }
   // Marks some of the convicted requests, other ones each time, to be told
   // again: VMs that start must know them.
-  void repeatConvicted(std::size_t MaxRows);
+  void repeatConvicted(std::size_t MaxRows, Time Now);
   // Forgets what has not been seen for long. Cost: linear in the rows.
   void tick(Time Now);
 
@@ -102,6 +103,7 @@
     Time m_ClearedAt{0};
     Time m_SeenAt{0};
     int m_Untold = 0; // How often the row is still to be told.
+    bool m_NewlyUntold = false;
   };
   bool isConvicted(const Row &Suspect) const {
     return Suspect.m_Crashes >= m_Limits.m_MaxCrashes;
--- a/lib/Suspects.cpp
+++ b/lib/Suspects.cpp
@@ -1,6 +1,7 @@
 #include "rhubarb/Suspects.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rhubarb {
 namespace {
@@ -45,7 +46,10 @@
 }
 
 void CrashSuspects::markUntold(Row &Suspect) {
-  Suspect.m_Untold = TimesTold;
+  // After many servers have crashed at once, most requests are suspected once
+  // and cleared by their next run.
+  Suspect.m_Untold = Suspect.m_Crashes > 1 ? TimesTold : 1;
+  Suspect.m_NewlyUntold = true;
   m_HasNewUpdates = true;
 }
 
@@ -206,7 +210,8 @@
   std::vector<SuspectUpdate> Updates;
   m_HasNewUpdates = false;
   for (auto &[Request, Suspect] : m_Rows) {
-    if (Suspect.m_Untold == 0 || (!Repeat && Suspect.m_Untold < TimesTold))
+    bool New = std::exchange(Suspect.m_NewlyUntold, false);
+    if (Suspect.m_Untold == 0 || (!Repeat && !New))
       continue;
     --Suspect.m_Untold;
     Updates.push_back(
@@ -223,14 +228,17 @@
   return Updates;
 }
 
-void CrashSuspects::repeatConvicted(std::size_t MaxRows) {
+void CrashSuspects::repeatConvicted(std::size_t MaxRows, Time Now) {
   if (m_Convicted == 0)
     return;
+  // What ends soon is not told any more, so that it ends at all VMs.
+  Duration ToldFor = m_Limits.m_ConvictedFor - m_Limits.m_ClearedFor;
   auto Next = m_Rows.upper_bound(m_LastRepeated);
   for (std::size_t Seen = 0; Seen < m_Rows.size() && MaxRows > 0; ++Seen) {
     if (Next == m_Rows.end())
       Next = m_Rows.begin();
-    if (isConvicted(Next->second)) {
+    if (isConvicted(Next->second) &&
+        Now - Next->second.m_LastCrashAt < ToldFor) {
       Next->second.m_Untold = std::max(Next->second.m_Untold, 1);
       --MaxRows;
     }
@@ -245,15 +253,18 @@
   });
   for (auto Each = m_Rows.begin(); Each != m_Rows.end();) {
     Row &Suspect = Each->second;
-    Duration Kept = isConvicted(Suspect)    ? m_Limits.m_ConvictedFor
-                    : Suspect.m_Crashes > 0 ? m_Limits.m_SuspectedFor
-                                            : m_Limits.m_ClearedFor;
-    if (Now - Suspect.m_SeenAt <= Kept) {
+    if (isConvicted(Suspect)) {
+      if (Now - Suspect.m_LastCrashAt > m_Limits.m_ConvictedFor)
+        setCrashes(Suspect, m_Limits.m_MaxCrashes - 1);
       ++Each;
       continue;
     }
-    setCrashes(Suspect, 0);
-    Each = m_Rows.erase(Each);
+    Duration Kept =
+        Suspect.m_Crashes > 0 ? m_Limits.m_SuspectedFor : m_Limits.m_ClearedFor;
+    if (Now - Suspect.m_SeenAt > Kept)
+      Each = m_Rows.erase(Each);
+    else
+      ++Each;
   }
 }
 
--- a/tools/rhubarb-node/NodeLookup.cpp
+++ b/tools/rhubarb-node/NodeLookup.cpp
@@ -45,6 +45,10 @@
   m_Metrics.set("rhubarb_config_revision", {}, static_cast<double>(revision()));
   m_Metrics.set("rhubarb_list_revision", {},
                 static_cast<double>(m_List.position().m_Revision));
+  m_Metrics.set("rhubarb_crash_suspects", {},
+                static_cast<double>(m_Suspects.size()));
+  m_Metrics.set("rhubarb_requests_convicted", {},
+                static_cast<double>(m_Suspects.convicted()));
   if (m_List.knownAt().count() > 0) // A list was received, so it has an age.
     m_Metrics.set("rhubarb_list_age_seconds", {},
                   Seconds(now() - m_List.knownAt()));
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -455,7 +455,7 @@
   if (Repeat && Reader && m_Suspects.convicted() > 0 &&
       now() - m_ConvictedRepeatedAt >= ConvictedRepeatInterval) {
     m_ConvictedRepeatedAt = now();
-    m_Suspects.repeatConvicted(MaxConvictedRepeated);
+    m_Suspects.repeatConvicted(MaxConvictedRepeated, now());
   }
   std::vector<SuspectUpdate> Updates = m_Suspects.takeUpdates(Repeat);
   if (!Updates.empty())
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -311,10 +311,12 @@
   }
   bool Ran = Report.m_Outcome == AttemptOutcome::Served ||
              Report.m_Outcome == AttemptOutcome::Failed;
-  if (Ran && m_Suspects.recordRun(Work.m_Fingerprint, now()))
+  if (Ran && m_Suspects.recordRun(Work.m_Fingerprint, now())) {
     logEvent(Severity::Info, "suspect_cleared",
              {{"request", std::to_string(Work.m_Fingerprint)},
               {"server", Row.m_Info.m_Id}});
+    sendSuspectUpdates(false);
+  }
   m_Suspects.ended(Work.m_Fingerprint);
 }
 
