--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -196,6 +196,7 @@
   bool isPanicMode(int Pool, Time Now) const;
   const PoolSnapshot &poolSnapshot(int Pool, Time Now);
   std::vector<Candidate> rankServers(const DispatchRequest &Request, Time Now);
+  // Whether the request has been sent to a server or its address.
   bool isTried(const DispatchRequest &Request, ServerIndex Index) const;
   std::vector<Candidate> eligibleServers(const DispatchRequest &Request,
                                          Time Now);
--- a/include/rhubarb/Evacuations.h
+++ b/include/rhubarb/Evacuations.h
@@ -13,6 +13,7 @@
 
 namespace rhubarb {
 
+// Evacuated failure domains and what is kept from before a restore.
 class EvacuationTable {
 public:
   // Applies all evacuations of a whole read at Position, with the position of
--- a/include/rhubarb/Listing.h
+++ b/include/rhubarb/Listing.h
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
--- a/include/rhubarb/Suspects.h
+++ b/include/rhubarb/Suspects.h
@@ -52,6 +52,7 @@
   Time m_SentAt{0};
 };
 
+// Table of suspected and convicted requests, as one VM knows them.
 class CrashSuspects {
 public:
   explicit CrashSuspects(SuspectLimits Limits = {}) : m_Limits(Limits) {}
@@ -81,7 +82,6 @@
   // Returns what the other VMs must hear: new updates, and with Repeat also
   // recent ones, to make up for lost messages.
   std::vector<SuspectUpdate> takeUpdates(bool Repeat);
-  bool hasNewUpdates() const { return m_HasNewUpdates; }
   // Marks some of the convicted requests, other ones each time, to be told
   // again: VMs that start must know them.
   void repeatConvicted(std::size_t MaxRows, Time Now);
@@ -140,7 +140,6 @@
   std::vector<std::pair<SuspectUpdate, int>> m_Uncounted;
   std::size_t m_Convicted = 0;
   std::uint64_t m_LastRepeated = 0;
-  bool m_HasNewUpdates = false;
 };
 
 } // namespace rhubarb
--- a/include/rhubarb/rhubarb.h
+++ b/include/rhubarb/rhubarb.h
@@ -25,21 +25,24 @@
 //     Members.h.
 //  9. Distribute callers over entry VMs: ClientBlockTable::find(),
 //     SteeringTable::step() and orderEntries() in Lookup.h.
-// 10. Report errors: errorInfo() in Errors.h maps each error kind to its
+// 10. Stop requests that crash servers: CrashSuspects::decide(), recordCrash()
+//     and recordRun() in Suspects.h.
+// 11. Report errors: errorInfo() in Errors.h maps each error kind to its
 //     response.
 //
 // Call every tick() at a regular interval (10 to 100 ms) with a time that never
 // decreases. examples/embed.cpp is a complete program that uses parts 2 to 5.
 #pragma once
 
-#include "rhubarb/Config.h"  // The operators' configuration.
-#include "rhubarb/Errors.h"  // Error kinds; Result<T>.
-#include "rhubarb/Grants.h"  // Sending to other entry processes.
-#include "rhubarb/Keys.h"    // Idempotency keys, stored responses.
-#include "rhubarb/Links.h"   // Bandwidth shares of links.
-#include "rhubarb/Lookup.h"  // Client address blocks, order of entry VMs.
-#include "rhubarb/Members.h" // Live and leaving VMs.
-#include "rhubarb/Queue.h"   // Priority queues.
-#include "rhubarb/Retry.h"   // Retry budgets.
-#include "rhubarb/Servers.h" // Backend servers and their owners.
-#include "rhubarb/Types.h"   // Times, priorities, random numbers.
+#include "rhubarb/Config.h"   // The operators' configuration.
+#include "rhubarb/Errors.h"   // Error kinds; Result<T>.
+#include "rhubarb/Grants.h"   // Sending to other entry processes.
+#include "rhubarb/Keys.h"     // Idempotency keys, stored responses.
+#include "rhubarb/Links.h"    // Bandwidth shares of links.
+#include "rhubarb/Lookup.h"   // Client address blocks, order of entry VMs.
+#include "rhubarb/Members.h"  // Live and leaving VMs.
+#include "rhubarb/Queue.h"    // Priority queues.
+#include "rhubarb/Retry.h"    // Retry budgets.
+#include "rhubarb/Servers.h"  // Backend servers and their owners.
+#include "rhubarb/Suspects.h" // Requests that crash servers.
+#include "rhubarb/Types.h"    // Times, priorities, random numbers.
--- a/lib/Suspects.cpp
+++ b/lib/Suspects.cpp
@@ -50,7 +50,6 @@
   // and cleared by their next run.
   Suspect.m_Untold = Suspect.m_Crashes > 1 ? TimesTold : 1;
   Suspect.m_NewlyUntold = true;
-  m_HasNewUpdates = true;
 }
 
 // A full table drops the row that was seen longest ago, convicted ones last.
@@ -90,12 +89,12 @@
   bool Tied = Cause.m_Crashes == Crashes && Cause.m_Request != Request &&
               Crashes >= m_Limits.m_MaxCrashes;
   if (Tied) {
-    std::size_t Before = servers(Cause.m_Request);
-    std::size_t Now = servers(Request);
-    Cause.m_Tied = Before == Now;
-    std::uint64_t Stronger = Now > Before ? Request : Cause.m_Request;
-    Cause.m_Request = Stronger;
-    retract(Server, Crashes + 1, Cause.m_Tied ? 0 : Stronger);
+    std::size_t FirstServers = servers(Cause.m_Request);
+    std::size_t SecondServers = servers(Request);
+    Cause.m_Tied = FirstServers == SecondServers;
+    if (SecondServers > FirstServers)
+      Cause.m_Request = Request;
+    retract(Server, Crashes + 1, Cause.m_Tied ? 0 : Cause.m_Request);
     return;
   }
   if (Cause.m_Crashes >= Crashes)
@@ -104,7 +103,8 @@
   retract(Server, Crashes, Request);
 }
 
-// Takes back what requests with fewer crashes were charged with for a crash.
+// Takes back what other requests were charged with for a crash, if their count
+// is lower.
 void CrashSuspects::retract(std::uint64_t Server, int Crashes,
                             std::uint64_t Except) {
   for (auto &[Other, Suspect] : m_Rows)
@@ -140,15 +140,14 @@
         isExplained(ServerHash, Each.m_Request, Before + 1))
       continue;
     Row &Suspect = rowFor(Each.m_Request, CrashedAt);
+    addServer(Suspect, ServerHash);
     // Attempts that were in flight at the same time count once: a request
     // that many callers send may be in flight at all servers that fail at once.
-    addServer(Suspect, ServerHash);
     if (Before > 0 && Each.m_SentAt < Suspect.m_LastCrashAt) {
       explainCrash(ServerHash, Each.m_Request, Before + 1, CrashedAt);
       m_Uncounted.push_back(
           {{Each.m_Request, Before, CrashedAt, ServerHash, CrashedAt, true},
            TimesTold});
-      m_HasNewUpdates = true;
       continue;
     }
     Suspect.m_CrashesBefore = Before;
@@ -208,7 +207,6 @@
 
 std::vector<SuspectUpdate> CrashSuspects::takeUpdates(bool Repeat) {
   std::vector<SuspectUpdate> Updates;
-  m_HasNewUpdates = false;
   for (auto &[Request, Suspect] : m_Rows) {
     bool New = std::exchange(Suspect.m_NewlyUntold, false);
     if (Suspect.m_Untold == 0 || (!Repeat && !New))
