--- a/include/rhubarb/StorePosition.h
+++ b/include/rhubarb/StorePosition.h
@@ -14,8 +14,13 @@
   std::uint64_t m_Era = 0; // 0 for a store that names no era.
   std::uint64_t m_Revision = 0;
 
-  friend auto operator<=>(const StorePosition &,
-                          const StorePosition &) = default;
+  friend bool operator==(const StorePosition &,
+                         const StorePosition &) = default;
+  friend std::strong_ordering operator<=>(const StorePosition &A,
+                                          const StorePosition &B) {
+    auto ByEra = A.m_Era <=> B.m_Era;
+    return ByEra != 0 ? ByEra : A.m_Revision <=> B.m_Revision;
+  }
   // Whether this is no position: nothing has been read yet.
   bool isNone() const { return m_Era == 0 && m_Revision == 0; }
 };
--- a/net/ServerUpdates.cpp
+++ b/net/ServerUpdates.cpp
@@ -190,15 +190,15 @@
 }
 
 std::vector<SuspectUpdate> readSuspectUpdates(const Value &Json, Time Now) {
-  constexpr Json::ArrayIndex RowFields = 6;
-  constexpr std::int64_t MaxAgeMs = 3'600'000;
+  constexpr Json::ArrayIndex SuspectFields = 6;
+  constexpr std::int64_t MaxSuspectAgeMs = 3'600'000;
   requireArray(Json, 1);
   std::vector<SuspectUpdate> Updates;
   for (Json::ArrayIndex I = 1; I < Json.size(); ++I) {
-    requireArray(Json[I], RowFields);
+    requireArray(Json[I], SuspectFields);
     auto At = [&](Json::ArrayIndex Field) {
       return Now - std::chrono::milliseconds(std::clamp<std::int64_t>(
-                       Json[I][Field].asInt64(), 0, MaxAgeMs));
+                       Json[I][Field].asInt64(), 0, MaxSuspectAgeMs));
     };
     Updates.push_back({Json[I][0].asUInt64(), std::max(0, Json[I][1].asInt()),
                        At(2), Json[I][3].asUInt64(), At(4),
