--- a/include/rhubarb/StorePosition.h
+++ b/include/rhubarb/StorePosition.h
@@ -14,8 +14,9 @@
   std::uint64_t m_Era = 0; // 0 for a store that names no era.
   std::uint64_t m_Revision = 0;
 
-  friend bool operator==(const StorePosition &,
-                         const StorePosition &) = default;
+  friend bool operator==(const StorePosition &A, const StorePosition &B) {
+    return A.m_Era == B.m_Era && A.m_Revision == B.m_Revision;
+  }
   friend std::strong_ordering operator<=>(const StorePosition &A,
                                           const StorePosition &B) {
     auto ByEra = A.m_Era <=> B.m_Era;
