Tell forgotten limits and forgiven requests of limited servers

The logs told a limit that a server took back from one that the VM dropped with the server's row no better than requests beyond the limit that the bucket forgave from none. Change: server_rate_limit with source=forgotten, the gauge rhubarb_rate_limit_forgiven_requests.

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -73,7 +73,12 @@
 };
 
 // Where a change of a server's limit was heard.
-enum class RateLimitSource : std::uint8_t { Response, HealthCheck, Peer };
+enum class RateLimitSource : std::uint8_t {
+  Response,
+  HealthCheck,
+  Peer,
+  Forgotten, // The limit was dropped; the server has not said so.
+};
 std::string_view rateLimitSourceName(RateLimitSource Value);
 
 // A server's limit that was heard first, changed or ended.
@@ -286,6 +291,8 @@
   // Returns a server's limit, or nullptr if it has never named one.
   const SharedRateLimit *rateLimit(ServerIndex Index) const;
   std::size_t rateLimitedServers() const;
+  // Requests beyond the limits of servers that later ones do not make up for.
+  double forgivenRequests() const;
   // Whether a server's limit allows a request of a priority class, behind a
   // number of others that wait here for the server.
   bool rateAllows(ServerIndex Index, std::size_t PriorityClass, int Ahead,
@@ -354,6 +361,7 @@
                         Time HeardAt, RateLimitSource Source, Time Now);
   void countAgainstRateLimit(ServerIndex Index, Time Now);
   void markUntold(ServerIndex Index);
+  void forgetRateLimit(ServerIndex Index);
 
   FleetLimits m_Limits;
   std::vector<BackendState> m_Rows;
@@ -374,6 +382,7 @@
   std::map<ServerIndex, int> m_UntoldRateLimits;
   bool m_HasNewRateLimitUpdates = false;
   std::vector<RateLimitChange> m_RateLimitChanges;
+  double m_ForgivenRequests = 0; // Of limits that are no longer kept.
   double m_HeardShare = 1;
   std::function<std::size_t(const BackendInfo &)> m_TrialRankHook;
   // Share of recent attempts that could not reach their server. From one half
--- a/include/rhubarb/RateLimit.h
+++ b/include/rhubarb/RateLimit.h
@@ -54,6 +54,8 @@
 
   // Requests that may be sent now; negative: debt that time has to repay.
   double tokens(Time Now) const;
+  // Requests beyond the limit that later requests did not make up for.
+  double forgiven() const { return m_Forgiven; }
   // Whether a request of a priority may be sent, behind a number of requests
   // that wait here for the same server. Higher priorities may send earlier.
   bool allows(std::size_t PriorityClass, int Ahead, Time Now) const;
@@ -66,12 +68,15 @@
 
 private:
   double rate() const;
+  double maxTokens() const;
+  double maxDebt() const;
   void take(double Count, Time Now);
 
   std::optional<double> m_PerSecond;
   Time m_HeardAt{0};
   double m_Share = 1;
   double m_Tokens = 0; // As of m_RefilledAt.
+  double m_Forgiven = 0;
   Time m_RefilledAt{0};
   std::uint64_t m_OwnSent = 0;
   std::uint64_t m_PeersSent = 0;
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace rhubarb {
@@ -12,8 +13,8 @@
     "no",           "not_listed",  "leaving", "evacuated", "replaced", "paused",
     "rate_limited", "unreachable", "suspect", "stalled",   "failing"};
 
-constexpr std::array<std::string_view, 3> RateLimitSourceNames{
-    "response", "health_check", "peer"};
+constexpr std::array<std::string_view, 4> RateLimitSourceNames{
+    "response", "health_check", "peer", "forgotten"};
 
 constexpr std::array<std::string_view, 8> OutcomeNames{
     "served", "failed",      "refused", "misdirected",
@@ -164,7 +165,7 @@
     Reset.m_ExpectedTimes = Row.m_ExpectedTimes;
     Reset.m_ExpectedTotal = Row.m_ExpectedTotal;
     Row = std::move(Reset);
-    m_RateLimits.erase(find(Info.m_Id));
+    forgetRateLimit(find(Info.m_Id));
   }
   if (Row.m_ListedSince == Time{0}) {
     Row.m_ListedSince = Now;
@@ -220,7 +221,7 @@
     const BackendState &Row = row(Position->second);
     if (!Row.m_Listed && Row.m_OwnRequests == 0) {
       m_FreeRows.push_back(Position->second);
-      m_RateLimits.erase(Position->second);
+      forgetRateLimit(Position->second);
       Position = m_ById.erase(Position);
       continue;
     }
@@ -296,6 +297,24 @@
                      Now);
 }
 
+void Fleet::forgetRateLimit(ServerIndex Index) {
+  auto Limit = m_RateLimits.find(Index);
+  if (Limit == m_RateLimits.end())
+    return;
+  if (Limit->second.isLimited())
+    m_RateLimitChanges.push_back({row(Index).m_Info.m_Id,
+                                  Limit->second.perSecond(), std::nullopt,
+                                  RateLimitSource::Forgotten, Duration{0}});
+  m_ForgivenRequests += Limit->second.forgiven();
+  m_RateLimits.erase(Limit);
+}
+
+double Fleet::forgivenRequests() const {
+  return std::accumulate(
+      m_RateLimits.begin(), m_RateLimits.end(), m_ForgivenRequests,
+      [](double Sum, const auto &Row) { return Sum + Row.second.forgiven(); });
+}
+
 void Fleet::markUntold(ServerIndex Index) {
   m_UntoldRateLimits[Index] = RateLimitTells;
   m_HasNewRateLimitUpdates = true;
--- a/lib/RateLimit.cpp
+++ b/lib/RateLimit.cpp
@@ -36,19 +36,25 @@
   return std::max(m_PerSecond.value_or(0) * m_Share, MinUsableRate);
 }
 
+double SharedRateLimit::maxTokens() const {
+  return isUnusable() ? MaxTrialTokens
+                      : std::max(MinSavedTokens, rate() * MaxSavedSeconds);
+}
+
+double SharedRateLimit::maxDebt() const {
+  return isUnusable() ? MaxTrialDebt
+                      : std::max(MinMaxDebt, rate() * MaxDebtSeconds);
+}
+
 double SharedRateLimit::tokens(Time Now) const {
-  double MaxTokens = MaxTrialTokens;
-  double MaxDebt = MaxTrialDebt;
-  if (!isUnusable()) {
-    MaxTokens = std::max(MinSavedTokens, rate() * MaxSavedSeconds);
-    MaxDebt = std::max(MinMaxDebt, rate() * MaxDebtSeconds);
-  }
   double Seconds = std::max(0.0, toSeconds(Now - m_RefilledAt));
-  return std::min(std::max(m_Tokens, -MaxDebt) + rate() * Seconds, MaxTokens);
+  return std::min(std::max(m_Tokens, -maxDebt()) + rate() * Seconds,
+                  maxTokens());
 }
 
 void SharedRateLimit::take(double Count, Time Now) {
   m_Tokens = tokens(Now) - Count;
+  m_Forgiven += std::max(0.0, -maxDebt() - m_Tokens);
   m_RefilledAt = std::max(m_RefilledAt, Now);
 }
 
--- a/tools/rhubarb-node/NodeLookup.cpp
+++ b/tools/rhubarb-node/NodeLookup.cpp
@@ -69,6 +69,8 @@
   const Fleet &Servers = m_Dispatcher.fleet();
   m_Metrics.set("rhubarb_rate_limited_servers", {},
                 static_cast<double>(Servers.rateLimitedServers()));
+  m_Metrics.set("rhubarb_rate_limit_forgiven_requests", {},
+                Servers.forgivenRequests());
   const auto &Pools = m_Routes.config().m_Pools;
   for (int Pool = 0; Pool < Servers.poolCount(); ++Pool) {
     const std::string &Name = Pools[static_cast<std::size_t>(Pool)].m_Name;
