--- a/test/RateLimitTest.cpp
+++ b/test/RateLimitTest.cpp
@@ -48,6 +48,9 @@
   Time m_CutUntil{0};
   Duration m_Length = 60s;
   std::uint64_t m_Seed = 1;
+  // The server is not listed at any VM in this time, and goes on running.
+  Time m_UnlistedFrom{0};
+  Time m_UnlistedUntil{0};
 
   bool isCut(std::size_t A, std::size_t B, Time Now) const {
     return (A < m_CutVms) != (B < m_CutVms) && m_CutFrom <= Now &&
@@ -129,6 +132,8 @@
         continue;
       std::size_t Index = Randomness.below(Vms.size());
       ModelVm &Vm = *Vms[Index];
+      if (Vm.m_Fleet.find("s-0") == NoServer)
+        continue;
       if (Vm.m_Fleet.exclusionReason(Vm.m_Fleet.row(OnlyServer), Now) !=
               ExclusionReason::None ||
           !Vm.m_Fleet.rateAllows(OnlyServer, 1, 0, Now))
@@ -147,10 +152,19 @@
       Vms[I]->m_Fleet.setHeardShare(
           Cut ? double(Side) / static_cast<double>(Vms.size()) : 1, Now);
     }
+    if (m_UnlistedUntil.count() > 0)
+      for (const std::unique_ptr<ModelVm> &Vm : Vms) {
+        if (Now == m_UnlistedFrom)
+          Vm->m_Fleet.update({}, Now);
+        if (Now == m_UnlistedUntil)
+          Vm->m_Fleet.update({oneServer()}, Now);
+      }
     bool HealthRound = Now % 250ms == Time{0};
     bool RepeatRound = Now % 200ms == Time{0};
     for (std::size_t I = 0; I < Vms.size(); ++I) {
       ModelVm &Vm = *Vms[I];
+      if (RepeatRound)
+        Vm.m_Fleet.tick(Now);
       if (HealthRound && !Vm.m_Fleet.dueHealthChecks(Now).empty()) {
         Vm.m_Fleet.healthCheckStarted(OnlyServer, Now);
         Server.recordArrival(std::to_string(Vm.m_Process), Now);
@@ -417,3 +431,60 @@
     CHECK(Rows == 25);
   }
 }
+
+namespace {
+
+SharedServerModel pressedServer(int Vms, double Demand, double Limit,
+                                std::uint64_t Seed) {
+  SharedServerModel Model;
+  Model.m_Vms = Vms;
+  Model.m_Demand = Demand;
+  Model.m_Delay = 80ms;
+  Model.m_TellInterval = 5ms * Vms;
+  Model.m_Limits = {{8s, Limit}};
+  Model.m_Length = 30s;
+  Model.m_Seed = Seed;
+  return Model;
+}
+
+} // namespace
+
+TEST_SUITE("rate_limit_pressed") {
+  TEST_CASE("a limited server that many VMs have requests for keeps its rate") {
+    for (int Vms : {3, 10, 61, 82, 295})
+      for (double Demand : {60.0, 150.0, 300.0, 1000.0})
+        for (double Limit : {1.0, 2.0, 4.0, 12.0})
+          for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
+            CAPTURE(Vms);
+            CAPTURE(Demand);
+            CAPTURE(Limit);
+            CAPTURE(Seed);
+            SharedServerModel Model = pressedServer(Vms, Demand, Limit, Seed);
+            site::RateLimitCheck Server = Model.run();
+            std::vector<std::string> Found = Server.violations(
+                [](const std::string &, Time) { return false; });
+            CHECK_MESSAGE(Found.empty(), (Found.empty() ? "" : Found.front()));
+            CHECK(Server.smallestUse(1s + Model.m_Length) >= 0.8);
+          }
+  }
+}
+
+TEST_SUITE("rate_limit_unlisted") {
+  TEST_CASE("a limited server that is not listed for a while keeps its rate") {
+    for (int Vms : {3, 10, 61, 82, 295})
+      for (double Demand : {15.0, 150.0, 300.0})
+        for (double Limit : {2.0, 4.0, 12.0})
+          for (Duration Away : {Duration{600ms}, Duration{2s}, Duration{15s}}) {
+            CAPTURE(Vms);
+            CAPTURE(Demand);
+            CAPTURE(Limit);
+            CAPTURE(Away.count());
+            SharedServerModel Model = pressedServer(Vms, Demand, Limit, 1);
+            Model.m_UnlistedFrom = 12s;
+            Model.m_UnlistedUntil = 12s + Away;
+            std::vector<std::string> Found = Model.run().violations(
+                [](const std::string &, Time) { return false; });
+            CHECK_MESSAGE(Found.empty(), (Found.empty() ? "" : Found.front()));
+          }
+  }
+}
