Let few VMs at a time use the tokens of a limited server

Cause: every VM saw the same token at the same moment, and each that had a request ready sent one before it heard of the others; what went beyond two seconds' worth was forgiven. Class: a shared account that is settled after the fact does not bound a fleet. Besides, a VM that sent often told the others only every 5 ms for each VM of the fleet (0.3 s at 61), however few of them sent.

Ruled out: requests that are not counted (the model counts all of them and failed); more tokens saved (an idle bucket of 2 explains 2 of the 23 too many).

Change: VMs wait for more tokens the higher their rank at the server; ranks that may send grow by a factor with each token, so that under pressure the first ranks use the rate up and with few requests the bucket fills until enough VMs may send. Debt is kept for the 4 s over which servers are held to their limit. The pause between updates follows the VMs that send any, not all. The model asks the program for this pause; the bucket's own check of debt goes from two seconds' worth to four, as the constant does.

Not a proof: when every VM gets a request within one message delay after a calm time, each may still send it.

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -285,6 +285,9 @@
   // Returns what the other VMs must hear about limited servers: new updates,
   // and with Repeat also recent ones, to make up for lost messages.
   std::map<ServerIndex, RateLimitUpdate> takeRateLimitUpdates(bool Repeat);
+  // Returns how long this VM pauses between updates. It grows with the number
+  // of VMs that send them, which bounds what a VM receives.
+  Duration rateLimitUpdateInterval(Time Now);
   bool hasNewRateLimitUpdates() const { return m_HasNewRateLimitUpdates; }
   // Returns and clears the changes of limits since the last call.
   std::vector<RateLimitChange> takeRateLimitChanges();
@@ -299,10 +302,12 @@
                   Time Now) const;
   // Sets the share of the known VMs that this VM hears, from 0 to 1.
   void setHeardShare(double Share, Time Now);
-  // Sets the function that returns this VM's rank among those that check
-  // whether a server takes requests again.
-  void setTrialRankHook(std::function<std::size_t(const BackendInfo &)> Hook) {
-    m_TrialRankHook = std::move(Hook);
+  // Sets the number of the other VMs that may send to the servers.
+  void setPeerCount(std::size_t Peers) { m_PeerCount = Peers; }
+  // Sets the function that returns this VM's rank among those that send to a
+  // limited server, or check whether it takes requests again.
+  void setRateRankHook(std::function<std::size_t(const BackendInfo &)> Hook) {
+    m_RateRankHook = std::move(Hook);
   }
 
   // Returns why a server is excluded, or None.
@@ -362,6 +367,7 @@
   void countAgainstRateLimit(ServerIndex Index, Time Now);
   void markUntold(ServerIndex Index);
   void forgetRateLimit(ServerIndex Index);
+  void updateRateRank(ServerIndex Index, SharedRateLimit &Limit) const;
 
   FleetLimits m_Limits;
   std::vector<BackendState> m_Rows;
@@ -384,7 +390,10 @@
   std::vector<RateLimitChange> m_RateLimitChanges;
   double m_ForgivenRequests = 0; // Of limits that are no longer kept.
   double m_HeardShare = 1;
-  std::function<std::size_t(const BackendInfo &)> m_TrialRankHook;
+  std::function<std::size_t(const BackendInfo &)> m_RateRankHook;
+  std::size_t m_PeerCount = 0;
+  // Peer processes that sent updates about limits of late.
+  std::map<std::uint64_t, Time> m_RateLimitPeers;
   // Share of recent attempts that could not reach their server. From one half
   // on, this process itself may be the one that is partitioned.
   double m_UnreachableRate = 0;
--- a/include/rhubarb/RateLimit.h
+++ b/include/rhubarb/RateLimit.h
@@ -47,6 +47,9 @@
   // Sets the share of the limit to use, from 0 to 1. A VM that has lost contact
   // with others uses less, as it does not hear what they send.
   void setShare(double Share, Time Now);
+  // Sets this VM's rank among the VMs that send to the server, 0 being the
+  // first to use a token, and the number of the others.
+  void setRank(std::size_t Rank, std::size_t Peers);
   // Records a request of this process.
   void recordSent(Time Now);
   // Records the number of requests that a peer process has sent so far.
@@ -62,19 +65,22 @@
   // Estimates when allows() becomes true; 0: now.
   Duration wait(std::size_t PriorityClass, int Ahead, Time Now) const;
   // Whether this VM may send a health check that finds out whether a server
-  // takes requests again. Rank orders the VMs that send them.
-  bool allowsTrial(std::size_t Rank, Time Now) const;
+  // takes requests again.
+  bool allowsTrial(Time Now) const;
   RateLimitUpdate update() const { return {m_PerSecond, m_HeardAt, m_OwnSent}; }
 
 private:
   double rate() const;
   double maxTokens() const;
   double maxDebt() const;
+  double minTokens(std::size_t PriorityClass) const;
   void take(double Count, Time Now);
 
   std::optional<double> m_PerSecond;
   Time m_HeardAt{0};
   double m_Share = 1;
+  std::size_t m_Rank = 0;
+  std::size_t m_Peers = 0;
   double m_Tokens = 0; // As of m_RefilledAt.
   double m_Forgiven = 0;
   Time m_RefilledAt{0};
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t LowestPriorityClass = 2;
 // How often each update about a limited server is told.
 constexpr int RateLimitTells = 3;
+constexpr Duration RateLimitUpdateIntervalPerVm = 5ms;
+constexpr Duration RateLimitPeerActiveFor = 1s;
 // Number of VMs that send to one cold server.
 constexpr std::size_t ColdSenders = 2;
 // Part of a cold server's tolerated rate that its senders use in total. The
@@ -227,6 +229,8 @@
     }
     ++Position;
   }
+  for (auto &[Index, Limit] : m_RateLimits)
+    updateRateRank(Index, Limit);
   for (BackendState &Row : m_Rows)
     if (Row.m_EjectionTime.count() > 0 && !Row.m_NeedsHealthCheck &&
         Now > Row.m_EjectedUntil + m_Limits.m_MaxEjectionTime)
@@ -278,6 +282,7 @@
   if (!Limit.observe(PerSecond, HeardAt, Now))
     return;
   Limit.setShare(m_HeardShare, Now);
+  updateRateRank(Index, Limit);
   BackendState &Row = mutableRow(Index);
   Row.m_RateLimited = Limit.isLimited();
   Row.m_RateUnusable = Limit.isUnusable();
@@ -297,6 +302,11 @@
                      Now);
 }
 
+void Fleet::updateRateRank(ServerIndex Index, SharedRateLimit &Limit) const {
+  Limit.setRank(m_RateRankHook ? m_RateRankHook(row(Index).m_Info) : 0,
+                m_PeerCount);
+}
+
 void Fleet::forgetRateLimit(ServerIndex Index) {
   auto Limit = m_RateLimits.find(Index);
   if (Limit == m_RateLimits.end())
@@ -331,11 +341,20 @@
                                  const RateLimitUpdate &Update, Time Now) {
   observeRateLimit(Index, Update.m_PerSecond, Update.m_HeardAt,
                    RateLimitSource::Peer, Now);
+  m_RateLimitPeers[Peer] = Now;
   auto Limit = m_RateLimits.find(Index);
   if (Limit != m_RateLimits.end())
     Limit->second.recordPeer(Peer, Update.m_Sent, Now);
 }
 
+Duration Fleet::rateLimitUpdateInterval(Time Now) {
+  std::erase_if(m_RateLimitPeers, [&](const auto &Peer) {
+    return Now - Peer.second > RateLimitPeerActiveFor;
+  });
+  return RateLimitUpdateIntervalPerVm *
+         static_cast<std::int64_t>(m_RateLimitPeers.size() + 1);
+}
+
 std::map<ServerIndex, RateLimitUpdate>
 Fleet::takeRateLimitUpdates(bool Repeat) {
   std::map<ServerIndex, RateLimitUpdate> Updates;
@@ -632,8 +651,7 @@
     const BackendState &Row = row(Index);
     ExclusionReason Reason = exclusionReason(Row, Now);
     if (Reason == ExclusionReason::RateLimited) {
-      std::size_t Rank = m_TrialRankHook ? m_TrialRankHook(Row.m_Info) : 0;
-      if (m_RateLimits.at(Index).allowsTrial(Rank, Now))
+      if (m_RateLimits.at(Index).allowsTrial(Now))
         DueServers.push_back(Index);
       continue;
     }
--- a/lib/RateLimit.cpp
+++ b/lib/RateLimit.cpp
@@ -13,9 +13,13 @@
 constexpr double MaxSavedSeconds = 0.25;
 constexpr double MinSavedTokens = 2;
 // Debt beyond this time's worth, or a few requests, is forgiven: after a cut
-// the VMs hear at once of requests that were sent long before.
-constexpr double MaxDebtSeconds = 2;
+// the VMs hear at once of requests that were sent long before. Servers are held
+// to their limit over windows of 4 s.
+constexpr double MaxDebtSeconds = 4;
 constexpr double MinMaxDebt = 4;
+// Share of a full bucket, above the minimum of a priority class, that the VM of
+// the last rank waits for.
+constexpr double MaxRankTokenShare = 0.9;
 // The same for servers that get health checks only.
 constexpr double MaxTrialDebt = 1;
 // Tokens by which each lower rank waits longer before its health check, so that
@@ -79,6 +83,11 @@
   m_Share = std::clamp(Share, 0.0, 1.0);
 }
 
+void SharedRateLimit::setRank(std::size_t Rank, std::size_t Peers) {
+  m_Rank = Rank;
+  m_Peers = Peers;
+}
+
 void SharedRateLimit::recordSent(Time Now) {
   ++m_OwnSent;
   take(1, Now);
@@ -98,11 +107,24 @@
     take(static_cast<double>(More), Now);
 }
 
+// VMs of a higher rank wait for more tokens, so that not all of them send when
+// one token is there. The ranks that may send grow by a factor with each token:
+// under pressure the first few use up the rate before the others may, and with
+// few requests the bucket fills until enough VMs may send.
+double SharedRateLimit::minTokens(std::size_t PriorityClass) const {
+  double Min = MinTokens[PriorityClass];
+  if (m_Rank == 0)
+    return Min;
+  double Share = std::log1p(static_cast<double>(m_Rank)) /
+                 std::log1p(static_cast<double>(std::max(m_Rank, m_Peers)));
+  return Min + (maxTokens() - Min) * MaxRankTokenShare * Share;
+}
+
 bool SharedRateLimit::allows(std::size_t PriorityClass, int Ahead,
                              Time Now) const {
   if (!isLimited())
     return true;
-  return !isUnusable() && tokens(Now) >= MinTokens[PriorityClass] + Ahead;
+  return !isUnusable() && tokens(Now) >= minTokens(PriorityClass) + Ahead;
 }
 
 Duration SharedRateLimit::wait(std::size_t PriorityClass, int Ahead,
@@ -114,13 +136,13 @@
       static_cast<double>(m_OwnSent + 1) /
       static_cast<double>(m_OwnSent + m_PeersSent + m_SentByPeer.size() + 1);
   double Missing =
-      std::max(0.0, MinTokens[PriorityClass] - tokens(Now)) + Ahead / OwnPart;
+      std::max(0.0, minTokens(PriorityClass) - tokens(Now)) + Ahead / OwnPart;
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Missing / rate()));
 }
 
-bool SharedRateLimit::allowsTrial(std::size_t Rank, Time Now) const {
-  auto Place = static_cast<double>(Rank);
+bool SharedRateLimit::allowsTrial(Time Now) const {
+  auto Place = static_cast<double>(m_Rank);
   bool Unconfirmed = toSeconds(Now - m_HeardAt) >=
                      UnconfirmedSeconds + TrialTokensPerRank * Place;
   return tokens(Now) >= (Unconfirmed ? 0 : TrialTokensPerRank * Place);
--- a/test/RateLimitTest.cpp
+++ b/test/RateLimitTest.cpp
@@ -48,6 +48,8 @@
   Time m_CutUntil{0};
   Duration m_Length = 60s;
   std::uint64_t m_Seed = 1;
+  // Whether the VMs choose the interval instead.
+  bool m_OwnTellInterval = false;
   // The server is not listed at any VM in this time, and goes on running.
   Time m_UnlistedFrom{0};
   Time m_UnlistedUntil{0};
@@ -73,7 +75,8 @@
   auto StartVm = [&](std::size_t Index) {
     Vms[Index] = std::make_unique<ModelVm>();
     Vms[Index]->m_Process = ++Processes;
-    Vms[Index]->m_Fleet.setTrialRankHook(
+    Vms[Index]->m_Fleet.setPeerCount(static_cast<std::size_t>(m_Vms) - 1);
+    Vms[Index]->m_Fleet.setRateRankHook(
         [Index](const BackendInfo &) { return Index; });
     Vms[Index]->m_Fleet.update({oneServer()}, Time{0});
   };
@@ -103,7 +106,10 @@
   };
   auto Tell = [&](std::size_t From, bool Repeat, Time Now) {
     ModelVm &Vm = *Vms[From];
-    if (Now - Vm.m_ToldAt < m_TellInterval)
+    Duration Interval = m_OwnTellInterval
+                            ? Vm.m_Fleet.rateLimitUpdateInterval(Now)
+                            : m_TellInterval;
+    if (Now - Vm.m_ToldAt < Interval)
       return;
     auto Updates = Vm.m_Fleet.takeRateLimitUpdates(Repeat);
     if (Updates.empty())
@@ -334,9 +340,10 @@
     for (std::size_t Rank : {0, 10, 294}) {
       CAPTURE(Rank);
       SharedRateLimit Limit;
+      Limit.setRank(Rank, 294);
       Limit.observe(0.0, 1s, 1s);
-      CHECK(Limit.allowsTrial(Rank, 1s) == (Rank == 0));
-      CHECK(Limit.allowsTrial(Rank, 200s));
+      CHECK(Limit.allowsTrial(1s) == (Rank == 0));
+      CHECK(Limit.allowsTrial(200s));
     }
   }
 
@@ -366,10 +373,10 @@
       Limit.recordPeer(7, 4, 10s);
       CHECK(Limit.tokens(10s) == doctest::Approx(2 - 4));
     }
-    SUBCASE("forgives debt beyond two seconds") {
+    SUBCASE("forgives debt beyond four seconds") {
       Limit.recordPeer(7, 1, 10s);
       Limit.recordPeer(7, 1000, 10s);
-      CHECK(Limit.tokens(10s) == doctest::Approx(-8));
+      CHECK(Limit.tokens(10s) == doctest::Approx(-16));
     }
     SUBCASE("fills slowly while peers are not heard") {
       Limit.setShare(0.5, 1s);
@@ -440,7 +447,7 @@
   Model.m_Vms = Vms;
   Model.m_Demand = Demand;
   Model.m_Delay = 80ms;
-  Model.m_TellInterval = 5ms * Vms;
+  Model.m_OwnTellInterval = true;
   Model.m_Limits = {{8s, Limit}};
   Model.m_Length = 30s;
   Model.m_Seed = Seed;
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -130,8 +130,8 @@
         handleForwardedMessage(Params, PeerIp);
         return Json::Value();
       });
-  m_Dispatcher.fleet().setTrialRankHook(
-      [this](const BackendInfo &Server) { return trialRankFor(Server); });
+  m_Dispatcher.fleet().setRateRankHook(
+      [this](const BackendInfo &Server) { return rateRankFor(Server); });
   m_Rpc.addNotification("limits",
                         [this](const Json::Value &Params, const std::string &) {
                           handleRateLimitUpdates(Params);
@@ -304,6 +304,7 @@
     if (Now - LastPeriodic >= 200ms) {
       LastPeriodic = Now;
       m_Dispatcher.fleet().setHeardShare(heardShare(), Now);
+      m_Dispatcher.fleet().setPeerCount(m_KnownVms.size());
       m_Dispatcher.tick(Now);
       m_List.tick(Now);
       sendPeriodicListUpdate();
@@ -468,7 +469,7 @@
 }
 
 // VMs of the server's region come first, as their checks are the cheapest.
-std::size_t Node::trialRankFor(const BackendInfo &Server) const {
+std::size_t Node::rateRankFor(const BackendInfo &Server) const {
   std::uint64_t Seed = stableHash(Server.m_Id);
   auto Order = [&](const std::string &Vm, std::string_view Region) {
     return std::pair(Region == Server.m_Region, stableHash(Vm, Seed));
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -282,7 +282,7 @@
                                            const BackendInfo &Server) const;
   double coldRateFor(const BackendInfo &Server) const;
   // Returns this VM's rank among those that check a server without requests.
-  std::size_t trialRankFor(const BackendInfo &Server) const;
+  std::size_t rateRankFor(const BackendInfo &Server) const;
   // Returns the share of the known VMs that this VM hears.
   double heardShare() const;
   void logRateLimitChanges();
@@ -320,7 +320,7 @@
   // or, if that was done just before, with the next tick.
   void sendRateLimitUpdates(bool Repeat);
   // Returns the time until updates about limits may be sent again.
-  Duration timeToRateLimitUpdates() const;
+  Duration timeToRateLimitUpdates();
   void handleRateLimitUpdates(const Json::Value &Params);
   // Tells all VMs which requests have crashed servers.
   void sendSuspectUpdates(bool Repeat);
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -41,9 +41,6 @@
 constexpr Duration ListUpdateMinInterval = 100ms;
 // While changes are pending, list updates are sent at this interval.
 constexpr Duration PendingListUpdateInterval = 200ms;
-// Updates about limited servers are sent at most this often for each VM that
-// gets them, which bounds what a VM receives.
-constexpr Duration RateLimitIntervalPerVm = 5ms;
 // Requests that crash servers are told again for VMs that have started.
 constexpr Duration ConvictedRepeatInterval = 1s;
 constexpr std::size_t MaxConvictedRepeated = 30; // Two datagrams.
@@ -421,11 +418,10 @@
                            : encodeForward(Text, Group.m_Receivers));
 }
 
-Duration Node::timeToRateLimitUpdates() const {
-  auto Vms = static_cast<std::int64_t>(m_KnownVms.size());
-  return std::max<Duration>(Duration{0}, m_RateLimitUpdatesSentAt +
-                                             RateLimitIntervalPerVm * Vms -
-                                             now());
+Duration Node::timeToRateLimitUpdates() {
+  Duration Interval = m_Dispatcher.fleet().rateLimitUpdateInterval(now());
+  return std::max<Duration>(Duration{0},
+                            m_RateLimitUpdatesSentAt + Interval - now());
 }
 
 void Node::sendRateLimitUpdates(bool Repeat) {
