Keep the limit of a server that is not listed for a while

Cause: a limit and the count of what was sent lived in the server's row, which every VM frees when the server is not listed and nothing runs there. Back in the list, with the same start time, the server was sent requests without limit until an answer named it again. Updates of other VMs about servers that are not listed here were dropped. Class: what a server says of itself was tied to what another source says of the server.

Ruled out: the burst after the return alone.

Change: limits and counts belong to the server's incarnation (id, address, start), outlive the row for a minute, and take updates of other VMs whether or not the server is listed. A server that all VMs may use again at the same moment (listed again, an evacuation's end) starts with an empty bucket.

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -90,6 +90,12 @@
   Duration m_Age{0}; // Time since the server named it.
 };
 
+// What the other VMs are told about a limited server.
+struct ServerRateLimitUpdate {
+  std::string m_ServerId;
+  RateLimitUpdate m_Update;
+};
+
 // What an attempt revealed about the server.
 struct AttemptReport {
   AttemptOutcome m_Outcome = AttemptOutcome::Served;
@@ -279,12 +285,15 @@
   void healthCheckStarted(ServerIndex Index, Time Now) {
     countAgainstRateLimit(Index, Now);
   }
-  // Applies what a peer process has heard from and sent to a limited server.
-  void applyRateLimitUpdate(ServerIndex Index, std::uint64_t Peer,
-                            const RateLimitUpdate &Update, Time Now);
+  // Applies what a peer process has heard from and sent to a limited server,
+  // by its incarnation. The server need not be listed here.
+  void applyRateLimitUpdate(std::uint64_t Incarnation, std::uint64_t Peer,
+                            const ServerRateLimitUpdate &Update, Time Now);
   // Returns what the other VMs must hear about limited servers: new updates,
-  // and with Repeat also recent ones, to make up for lost messages.
-  std::map<ServerIndex, RateLimitUpdate> takeRateLimitUpdates(bool Repeat);
+  // and with Repeat also recent ones, to make up for lost messages. Keys are
+  // the servers' incarnations.
+  std::map<std::uint64_t, ServerRateLimitUpdate>
+  takeRateLimitUpdates(bool Repeat);
   // Returns how long this VM pauses between updates. It grows with the number
   // of VMs that send them, which bounds what a VM receives.
   Duration rateLimitUpdateInterval(Time Now);
@@ -353,7 +362,7 @@
     return m_Rows[static_cast<std::size_t>(Index)];
   }
   ServerIndex rowFor(const std::string &Id);
-  void applyInfo(const BackendInfo &Info, Time Now);
+  void applyInfo(const BackendInfo &Info, bool ListedBefore, Time Now);
   std::vector<ServerIndex>::iterator poolPosition(ServerIndex Index);
   void eject(BackendState &Row, Time Now) const;
   void setReplaced(ServerIndex Index);
@@ -362,12 +371,26 @@
   bool isStalled(const BackendState &Row, Time Now) const;
   void rebuildPools();
   void applyResponse(ServerIndex Index, const AttemptReport &Report, Time Now);
-  void observeRateLimit(ServerIndex Index, std::optional<double> PerSecond,
-                        Time HeardAt, RateLimitSource Source, Time Now);
+  // A server's limit and requests outlive its row: a server that is not listed
+  // for a while, or listed later at this VM, still counts its requests.
+  struct KnownRateLimit {
+    SharedRateLimit m_Limit;
+    std::string m_ServerId;
+    int m_Tells = 0; // How often its update is still to be told.
+    Time m_UsedAt{0};
+  };
+  void observeRateLimit(std::uint64_t Incarnation, const std::string &ServerId,
+                        std::optional<double> PerSecond, Time HeardAt,
+                        RateLimitSource Source, Time Now);
+  void applyKnownRateLimit(BackendState &Row) const;
+  void dropSavedTokens(const BackendState &Row, Time Now);
   void countAgainstRateLimit(ServerIndex Index, Time Now);
-  void markUntold(ServerIndex Index);
-  void forgetRateLimit(ServerIndex Index);
-  void updateRateRank(ServerIndex Index, SharedRateLimit &Limit) const;
+  void markUntold(KnownRateLimit &Known);
+  void forgetUnusedRateLimits(Time Now);
+  void updateRateRank(KnownRateLimit &Known) const;
+  // Returns the row with an incarnation, or nullptr.
+  BackendState *findIncarnation(const std::string &ServerId,
+                                std::uint64_t Incarnation);
 
   FleetLimits m_Limits;
   std::vector<BackendState> m_Rows;
@@ -382,10 +405,8 @@
   std::map<ServerIndex, ServerLoad> m_HighLoads;
   // State changes not yet shared with other processes.
   std::map<ServerIndex, ServerEvent> m_PendingEvents;
-  // Limits of the servers that have named one.
-  std::unordered_map<ServerIndex, SharedRateLimit> m_RateLimits;
-  // How often each update is still to be told to the other VMs.
-  std::map<ServerIndex, int> m_UntoldRateLimits;
+  // Limits of the servers that have named one, by incarnation.
+  std::unordered_map<std::uint64_t, KnownRateLimit> m_RateLimits;
   bool m_HasNewRateLimitUpdates = false;
   std::vector<RateLimitChange> m_RateLimitChanges;
   double m_ForgivenRequests = 0; // Of limits that are no longer kept.
--- a/include/rhubarb/RateLimit.h
+++ b/include/rhubarb/RateLimit.h
@@ -50,6 +50,8 @@
   // Sets this VM's rank among the VMs that send to the server, 0 being the
   // first to use a token, and the number of the others.
   void setRank(std::size_t Rank, std::size_t Peers);
+  // Empties the bucket, unless it is in debt.
+  void dropSavedTokens(Time Now);
   // Records a request of this process.
   void recordSent(Time Now);
   // Records the number of requests that a peer process has sent so far.
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -35,6 +35,8 @@
 constexpr int RateLimitTells = 3;
 constexpr Duration RateLimitUpdateIntervalPerVm = 5ms;
 constexpr Duration RateLimitPeerActiveFor = 1s;
+// Time for which the limit of a server that is not listed is kept.
+constexpr Duration RateLimitKeptFor = 60s;
 // Number of VMs that send to one cold server.
 constexpr std::size_t ColdSenders = 2;
 // Part of a cold server's tolerated rate that its senders use in total. The
@@ -113,10 +115,12 @@
 }
 
 void Fleet::update(const std::vector<BackendInfo> &Listed, Time Now) {
+  std::set<std::string> ListedBefore;
   for (BackendState &Row : m_Rows)
-    Row.m_Listed = false;
+    if (std::exchange(Row.m_Listed, false))
+      ListedBefore.insert(Row.m_Info.m_Id);
   for (const BackendInfo &Info : Listed)
-    applyInfo(Info, Now);
+    applyInfo(Info, ListedBefore.contains(Info.m_Id), Now);
   rebuildPools();
 }
 
@@ -133,8 +137,10 @@
   for (const std::string &Id : Removed)
     Remove(find(Id));
   for (const BackendInfo &Info : Listed) {
-    Remove(find(Info.m_Id));
-    applyInfo(Info, Now);
+    ServerIndex Known = find(Info.m_Id);
+    bool ListedBefore = Known != NoServer && row(Known).m_Listed;
+    Remove(Known);
+    applyInfo(Info, ListedBefore, Now);
     auto Pool = static_cast<std::size_t>(Info.m_Pool);
     if (m_Pools.size() <= Pool)
       m_Pools.resize(Pool + 1);
@@ -154,7 +160,7 @@
                           });
 }
 
-void Fleet::applyInfo(const BackendInfo &Info, Time Now) {
+void Fleet::applyInfo(const BackendInfo &Info, bool ListedBefore, Time Now) {
   BackendState &Row = mutableRow(rowFor(Info.m_Id));
   bool Restarted = Row.m_Info.m_StartTimeMs != 0 && Info.m_StartTimeMs != 0 &&
                    Row.m_Info.m_StartTimeMs != Info.m_StartTimeMs;
@@ -167,7 +173,6 @@
     Reset.m_ExpectedTimes = Row.m_ExpectedTimes;
     Reset.m_ExpectedTotal = Row.m_ExpectedTotal;
     Row = std::move(Reset);
-    forgetRateLimit(find(Info.m_Id));
   }
   if (Row.m_ListedSince == Time{0}) {
     Row.m_ListedSince = Now;
@@ -181,6 +186,9 @@
   Row.m_Incarnation =
       stableHash(Info.m_Id + Info.m_Address,
                  static_cast<std::uint64_t>(Info.m_StartTimeMs));
+  applyKnownRateLimit(Row);
+  if (!ListedBefore)
+    dropSavedTokens(Row, Now);
   Row.m_Listed = true;
   Row.m_Evacuated = m_EvacuatedDomains.contains(Info.m_Domain);
   Row.m_ColdUntil = std::max(Row.m_ColdUntil, Info.m_ColdUntil);
@@ -210,8 +218,10 @@
                          Time Now) {
   for (BackendState &Row : m_Rows) {
     bool Evacuated = Domains.contains(Row.m_Info.m_Domain);
-    if (Row.m_Evacuated && !Evacuated)
+    if (Row.m_Evacuated && !Evacuated) {
       Row.m_ColdUntil = std::max(Row.m_ColdUntil, Now + ColdFor);
+      dropSavedTokens(Row, Now);
+    }
     Row.m_Evacuated = Evacuated;
   }
   m_EvacuatedDomains = Domains;
@@ -223,14 +233,14 @@
     const BackendState &Row = row(Position->second);
     if (!Row.m_Listed && Row.m_OwnRequests == 0) {
       m_FreeRows.push_back(Position->second);
-      forgetRateLimit(Position->second);
       Position = m_ById.erase(Position);
       continue;
     }
     ++Position;
   }
-  for (auto &[Index, Limit] : m_RateLimits)
-    updateRateRank(Index, Limit);
+  forgetUnusedRateLimits(Now);
+  for (auto &[Incarnation, Known] : m_RateLimits)
+    updateRateRank(Known);
   for (BackendState &Row : m_Rows)
     if (Row.m_EjectionTime.count() > 0 && !Row.m_NeedsHealthCheck &&
         Now > Row.m_EjectedUntil + m_Limits.m_MaxEjectionTime)
@@ -271,80 +281,120 @@
         Row.m_PausedUntil, Now + std::min<Duration>(BackoffFor, MaxPause));
 }
 
+BackendState *Fleet::findIncarnation(const std::string &ServerId,
+                                     std::uint64_t Incarnation) {
+  ServerIndex Index = find(ServerId);
+  if (Index == NoServer || row(Index).m_Incarnation != Incarnation)
+    return nullptr;
+  return &mutableRow(Index);
+}
+
 // Only limits are kept of servers that have named one: the answer of a server
 // that never has is not recorded.
-void Fleet::observeRateLimit(ServerIndex Index, std::optional<double> PerSecond,
-                             Time HeardAt, RateLimitSource Source, Time Now) {
-  if (!PerSecond && !m_RateLimits.contains(Index))
+void Fleet::observeRateLimit(std::uint64_t Incarnation,
+                             const std::string &ServerId,
+                             std::optional<double> PerSecond, Time HeardAt,
+                             RateLimitSource Source, Time Now) {
+  if (!PerSecond && !m_RateLimits.contains(Incarnation))
     return;
-  SharedRateLimit &Limit = m_RateLimits[Index];
-  std::optional<double> Before = Limit.perSecond();
-  if (!Limit.observe(PerSecond, HeardAt, Now))
+  KnownRateLimit &Known = m_RateLimits[Incarnation];
+  Known.m_ServerId = ServerId;
+  Known.m_UsedAt = Now;
+  std::optional<double> Before = Known.m_Limit.perSecond();
+  if (!Known.m_Limit.observe(PerSecond, HeardAt, Now))
     return;
-  Limit.setShare(m_HeardShare, Now);
-  updateRateRank(Index, Limit);
-  BackendState &Row = mutableRow(Index);
-  Row.m_RateLimited = Limit.isLimited();
-  Row.m_RateUnusable = Limit.isUnusable();
+  Known.m_Limit.setShare(m_HeardShare, Now);
+  updateRateRank(Known);
+  if (BackendState *Row = findIncarnation(ServerId, Incarnation))
+    applyKnownRateLimit(*Row);
   m_RateLimitChanges.push_back(
-      {Row.m_Info.m_Id, Before, Limit.perSecond(), Source, Now - HeardAt});
+      {ServerId, Before, Known.m_Limit.perSecond(), Source, Now - HeardAt});
   if (Source != RateLimitSource::Peer)
-    markUntold(Index);
+    markUntold(Known);
+}
+
+void Fleet::applyKnownRateLimit(BackendState &Row) const {
+  auto Known = m_RateLimits.find(Row.m_Incarnation);
+  bool IsKnown = Known != m_RateLimits.end();
+  Row.m_RateLimited = IsKnown && Known->second.m_Limit.isLimited();
+  Row.m_RateUnusable = IsKnown && Known->second.m_Limit.isUnusable();
+}
+
+// A server that all VMs may use again at the same moment has a full bucket,
+// from which each of them would send.
+void Fleet::dropSavedTokens(const BackendState &Row, Time Now) {
+  auto Known = m_RateLimits.find(Row.m_Incarnation);
+  if (Known != m_RateLimits.end())
+    Known->second.m_Limit.dropSavedTokens(Now);
 }
 
 void Fleet::applyRateLimitHint(ServerIndex Index, RateLimitHint Hint,
                                double PerSecond, Time Now) {
+  const BackendState &Row = row(Index);
   if (Hint == RateLimitHint::Named)
-    observeRateLimit(Index, PerSecond, Now, RateLimitSource::HealthCheck, Now);
+    observeRateLimit(Row.m_Incarnation, Row.m_Info.m_Id, PerSecond, Now,
+                     RateLimitSource::HealthCheck, Now);
   // The servers without requests have no other way to end their limit.
-  else if (Hint == RateLimitHint::NotNamed && row(Index).m_RateUnusable)
-    observeRateLimit(Index, std::nullopt, Now, RateLimitSource::HealthCheck,
-                     Now);
+  else if (Hint == RateLimitHint::NotNamed && Row.m_RateUnusable)
+    observeRateLimit(Row.m_Incarnation, Row.m_Info.m_Id, std::nullopt, Now,
+                     RateLimitSource::HealthCheck, Now);
 }
 
-void Fleet::updateRateRank(ServerIndex Index, SharedRateLimit &Limit) const {
-  Limit.setRank(m_RateRankHook ? m_RateRankHook(row(Index).m_Info) : 0,
-                m_PeerCount);
+void Fleet::updateRateRank(KnownRateLimit &Known) const {
+  ServerIndex Index = find(Known.m_ServerId);
+  if (Index == NoServer)
+    return;
+  Known.m_Limit.setRank(m_RateRankHook ? m_RateRankHook(row(Index).m_Info) : 0,
+                        m_PeerCount);
 }
 
-void Fleet::forgetRateLimit(ServerIndex Index) {
-  auto Limit = m_RateLimits.find(Index);
-  if (Limit == m_RateLimits.end())
-    return;
-  if (Limit->second.isLimited())
-    m_RateLimitChanges.push_back({row(Index).m_Info.m_Id,
-                                  Limit->second.perSecond(), std::nullopt,
-                                  RateLimitSource::Forgotten, Duration{0}});
-  m_ForgivenRequests += Limit->second.forgiven();
-  m_RateLimits.erase(Limit);
+void Fleet::forgetUnusedRateLimits(Time Now) {
+  for (auto Position = m_RateLimits.begin(); Position != m_RateLimits.end();) {
+    KnownRateLimit &Known = Position->second;
+    if (findIncarnation(Known.m_ServerId, Position->first) != nullptr)
+      Known.m_UsedAt = Now;
+    if (Now - Known.m_UsedAt < RateLimitKeptFor) {
+      ++Position;
+      continue;
+    }
+    if (Known.m_Limit.isLimited())
+      m_RateLimitChanges.push_back({Known.m_ServerId, Known.m_Limit.perSecond(),
+                                    std::nullopt, RateLimitSource::Forgotten,
+                                    Now - Known.m_Limit.heardAt()});
+    m_ForgivenRequests += Known.m_Limit.forgiven();
+    Position = m_RateLimits.erase(Position);
+  }
 }
 
 double Fleet::forgivenRequests() const {
-  return std::accumulate(
-      m_RateLimits.begin(), m_RateLimits.end(), m_ForgivenRequests,
-      [](double Sum, const auto &Row) { return Sum + Row.second.forgiven(); });
+  return std::accumulate(m_RateLimits.begin(), m_RateLimits.end(),
+                         m_ForgivenRequests, [](double Sum, const auto &Row) {
+                           return Sum + Row.second.m_Limit.forgiven();
+                         });
 }
 
-void Fleet::markUntold(ServerIndex Index) {
-  m_UntoldRateLimits[Index] = RateLimitTells;
+void Fleet::markUntold(KnownRateLimit &Known) {
+  Known.m_Tells = RateLimitTells;
   m_HasNewRateLimitUpdates = true;
 }
 
 void Fleet::countAgainstRateLimit(ServerIndex Index, Time Now) {
   if (!row(Index).m_RateLimited)
     return;
-  m_RateLimits[Index].recordSent(Now);
-  markUntold(Index);
+  KnownRateLimit &Known = m_RateLimits.at(row(Index).m_Incarnation);
+  Known.m_Limit.recordSent(Now);
+  markUntold(Known);
 }
 
-void Fleet::applyRateLimitUpdate(ServerIndex Index, std::uint64_t Peer,
-                                 const RateLimitUpdate &Update, Time Now) {
-  observeRateLimit(Index, Update.m_PerSecond, Update.m_HeardAt,
-                   RateLimitSource::Peer, Now);
+void Fleet::applyRateLimitUpdate(std::uint64_t Incarnation, std::uint64_t Peer,
+                                 const ServerRateLimitUpdate &Update,
+                                 Time Now) {
+  observeRateLimit(Incarnation, Update.m_ServerId, Update.m_Update.m_PerSecond,
+                   Update.m_Update.m_HeardAt, RateLimitSource::Peer, Now);
   m_RateLimitPeers[Peer] = Now;
-  auto Limit = m_RateLimits.find(Index);
-  if (Limit != m_RateLimits.end())
-    Limit->second.recordPeer(Peer, Update.m_Sent, Now);
+  auto Known = m_RateLimits.find(Incarnation);
+  if (Known != m_RateLimits.end())
+    Known->second.m_Limit.recordPeer(Peer, Update.m_Update.m_Sent, Now);
 }
 
 Duration Fleet::rateLimitUpdateInterval(Time Now) {
@@ -355,19 +405,15 @@
          static_cast<std::int64_t>(m_RateLimitPeers.size() + 1);
 }
 
-std::map<ServerIndex, RateLimitUpdate>
+std::map<std::uint64_t, ServerRateLimitUpdate>
 Fleet::takeRateLimitUpdates(bool Repeat) {
-  std::map<ServerIndex, RateLimitUpdate> Updates;
-  for (auto Untold = m_UntoldRateLimits.begin();
-       Untold != m_UntoldRateLimits.end();) {
-    auto Limit = m_RateLimits.find(Untold->first);
-    bool IsNew = Untold->second == RateLimitTells;
-    if (Limit != m_RateLimits.end() && (IsNew || Repeat)) {
-      Updates[Untold->first] = Limit->second.update();
-      --Untold->second;
-    }
-    bool Done = Limit == m_RateLimits.end() || Untold->second == 0;
-    Untold = Done ? m_UntoldRateLimits.erase(Untold) : std::next(Untold);
+  std::map<std::uint64_t, ServerRateLimitUpdate> Updates;
+  for (auto &[Incarnation, Known] : m_RateLimits) {
+    bool IsNew = Known.m_Tells == RateLimitTells;
+    if (!IsNew && (!Repeat || Known.m_Tells == 0))
+      continue;
+    Updates[Incarnation] = {Known.m_ServerId, Known.m_Limit.update()};
+    --Known.m_Tells;
   }
   m_HasNewRateLimitUpdates = false;
   return Updates;
@@ -378,28 +424,31 @@
 }
 
 const SharedRateLimit *Fleet::rateLimit(ServerIndex Index) const {
-  auto Limit = m_RateLimits.find(Index);
-  return Limit == m_RateLimits.end() ? nullptr : &Limit->second;
+  auto Known = m_RateLimits.find(row(Index).m_Incarnation);
+  return Known == m_RateLimits.end() ? nullptr : &Known->second.m_Limit;
 }
 
 std::size_t Fleet::rateLimitedServers() const {
   return static_cast<std::size_t>(
-      std::count_if(m_RateLimits.begin(), m_RateLimits.end(),
-                    [](const auto &Row) { return Row.second.isLimited(); }));
+      std::count_if(m_ById.begin(), m_ById.end(), [&](const auto &Entry) {
+        const BackendState &Row = row(Entry.second);
+        return Row.m_Listed && Row.m_RateLimited;
+      }));
 }
 
 bool Fleet::rateAllows(ServerIndex Index, std::size_t PriorityClass, int Ahead,
                        Time Now) const {
-  return !row(Index).m_RateLimited ||
-         m_RateLimits.at(Index).allows(PriorityClass, Ahead, Now);
+  const BackendState &Row = row(Index);
+  return !Row.m_RateLimited || m_RateLimits.at(Row.m_Incarnation)
+                                   .m_Limit.allows(PriorityClass, Ahead, Now);
 }
 
 void Fleet::setHeardShare(double Share, Time Now) {
   if (Share == m_HeardShare)
     return;
   m_HeardShare = Share;
-  for (auto &[Index, Limit] : m_RateLimits)
-    Limit.setShare(Share, Now);
+  for (auto &[Incarnation, Known] : m_RateLimits)
+    Known.m_Limit.setShare(Share, Now);
 }
 
 std::map<ServerIndex, ServerLoad> Fleet::takeHighLoads() {
@@ -489,10 +538,11 @@
   applyServerHints(Index, Report.m_Leaving, Report.m_BackoffFor, Now);
   // A server that refuses a request may leave out its limit.
   if (Report.m_RateLimitHint == RateLimitHint::Named)
-    observeRateLimit(Index, Report.m_RateLimit, Now, RateLimitSource::Response,
-                     Now);
+    observeRateLimit(Row.m_Incarnation, Row.m_Info.m_Id, Report.m_RateLimit,
+                     Now, RateLimitSource::Response, Now);
   else if (Report.m_RateLimitHint == RateLimitHint::NotNamed && Ran)
-    observeRateLimit(Index, std::nullopt, Now, RateLimitSource::Response, Now);
+    observeRateLimit(Row.m_Incarnation, Row.m_Info.m_Id, std::nullopt, Now,
+                     RateLimitSource::Response, Now);
 }
 
 void Fleet::finished(ServerIndex Index, const AttemptReport &Report,
@@ -651,7 +701,7 @@
     const BackendState &Row = row(Index);
     ExclusionReason Reason = exclusionReason(Row, Now);
     if (Reason == ExclusionReason::RateLimited) {
-      if (m_RateLimits.at(Index).allowsTrial(Now))
+      if (rateLimit(Index)->allowsTrial(Now))
         DueServers.push_back(Index);
       continue;
     }
--- a/lib/RateLimit.cpp
+++ b/lib/RateLimit.cpp
@@ -78,6 +78,11 @@
   return true;
 }
 
+void SharedRateLimit::dropSavedTokens(Time Now) {
+  m_Tokens = std::min(0.0, tokens(Now));
+  m_RefilledAt = Now;
+}
+
 void SharedRateLimit::setShare(double Share, Time Now) {
   take(0, Now);
   m_Share = std::clamp(Share, 0.0, 1.0);
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -600,12 +600,15 @@
       for (std::size_t I = 0; I < Case.m_Limited; ++I) {
         auto Index = static_cast<ServerIndex>(I);
         Fleet &Servers = Tested.fleet();
-        Servers.applyRateLimitUpdate(Index, Peer, {Case.m_PerSecond, 1s, 0},
-                                     1s);
+        const BackendState &Limited = Servers.row(Index);
         Servers.applyRateLimitUpdate(
-            Index, Peer,
-            {Case.m_PerSecond, 10s,
-             static_cast<std::uint64_t>(Case.m_PeersSent)},
+            Limited.m_Incarnation, Peer,
+            {Limited.m_Info.m_Id, {Case.m_PerSecond, 1s, 0}}, 1s);
+        Servers.applyRateLimitUpdate(
+            Limited.m_Incarnation, Peer,
+            {Limited.m_Info.m_Id,
+             {Case.m_PerSecond, 10s,
+              static_cast<std::uint64_t>(Case.m_PeersSent)}},
             10s);
       }
       DispatchRequest Request = requestFor(1, 7, 10s);
@@ -627,8 +630,11 @@
   TEST_CASE("requests that wait for a rate limit go by priority, at its rate") {
     Dispatcher Tested("r1");
     Tested.fleet().update({server("a", "r1")}, 1s);
-    Tested.fleet().applyRateLimitUpdate(0, 1, {10.0, 1s, 0}, 1s);
-    Tested.fleet().applyRateLimitUpdate(0, 1, {10.0, 10s, 3}, 10s);
+    std::uint64_t Incarnation = Tested.fleet().row(0).m_Incarnation;
+    Tested.fleet().applyRateLimitUpdate(Incarnation, 1, {"a", {10.0, 1s, 0}},
+                                        1s);
+    Tested.fleet().applyRateLimitUpdate(Incarnation, 1, {"a", {10.0, 10s, 3}},
+                                        10s);
     DispatchRequest Low = requestFor(1, 7, 10s);
     Low.m_Priority = 1;
     DispatchRequest High = requestFor(2, 7, 10s);
--- a/test/RateLimitTest.cpp
+++ b/test/RateLimitTest.cpp
@@ -118,10 +118,12 @@
     for (std::size_t To = 0; To < Vms.size(); ++To)
       if (To != From && !isCut(From, To, Now) &&
           Randomness.uniform() >= m_LostShare)
-        Events.emplace(Now + m_Delay, [&, To, Peer = Vm.m_Process,
-                                       Update = Updates[OnlyServer]](Time At) {
-          Vms[To]->m_Fleet.applyRateLimitUpdate(OnlyServer, Peer, Update, At);
-        });
+        Events.emplace(Now + m_Delay,
+                       [&, To, Peer = Vm.m_Process, Updates](Time At) {
+                         for (const auto &[Incarnation, Update] : Updates)
+                           Vms[To]->m_Fleet.applyRateLimitUpdate(
+                               Incarnation, Peer, Update, At);
+                       });
   };
   double StepSeconds = std::chrono::duration<double>(Step).count();
   for (Time Now = 1s; Now < 1s + m_Length; Now += Step) {
@@ -350,12 +352,14 @@
   TEST_CASE("what peers heard counts if it is later, and for the same start") {
     Fleet Servers;
     Servers.update({oneServer()}, 1s);
-    Servers.applyRateLimitUpdate(OnlyServer, 1, {4.0, 10s, 1}, 10s);
-    Servers.applyRateLimitUpdate(OnlyServer, 2, {9.0, 9s, 1}, 11s);
+    std::uint64_t Incarnation = Servers.row(OnlyServer).m_Incarnation;
+    Servers.applyRateLimitUpdate(Incarnation, 1, {"s-0", {4.0, 10s, 1}}, 10s);
+    Servers.applyRateLimitUpdate(Incarnation, 2, {"s-0", {9.0, 9s, 1}}, 11s);
     CHECK(Servers.rateLimit(OnlyServer)->perSecond() == 4.0);
-    Servers.applyRateLimitUpdate(OnlyServer, 2, {std::nullopt, 12s, 1}, 12s);
+    Servers.applyRateLimitUpdate(Incarnation, 2,
+                                 {"s-0", {std::nullopt, 12s, 1}}, 12s);
     CHECK_FALSE(Servers.rateLimit(OnlyServer)->isLimited());
-    Servers.applyRateLimitUpdate(OnlyServer, 2, {2.0, 13s, 1}, 13s);
+    Servers.applyRateLimitUpdate(Incarnation, 2, {"s-0", {2.0, 13s, 1}}, 13s);
     Servers.update({oneServer(2)}, 14s);
     CHECK(Servers.rateLimit(OnlyServer) == nullptr);
     CHECK(Servers.rateAllows(OnlyServer, 2, 100, 14s));
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -432,12 +432,9 @@
   RateLimitUpdates Updates;
   Updates.m_Vm = m_Settings.m_Ip;
   Updates.m_Incarnation = m_Incarnation;
-  for (const auto &[Index, Update] :
-       m_Dispatcher.fleet().takeRateLimitUpdates(Repeat)) {
-    const BackendState &Row = m_Dispatcher.fleet().row(Index);
-    if (Row.m_Listed)
-      Updates.m_Servers[Row.m_Info.m_Id] = {Row.m_Incarnation, Update};
-  }
+  for (const auto &[Incarnation, Update] :
+       m_Dispatcher.fleet().takeRateLimitUpdates(Repeat))
+    Updates.m_Servers[Update.m_ServerId] = {Incarnation, Update.m_Update};
   if (Updates.m_Servers.empty())
     return;
   m_RateLimitUpdatesSentAt = now();
@@ -476,13 +473,9 @@
   if (Updates.m_Vm == m_Settings.m_Ip)
     return;
   std::uint64_t Peer = stableHash(Updates.m_Vm, Updates.m_Incarnation);
-  Fleet &Servers = m_Dispatcher.fleet();
-  for (const auto &[Id, Row] : Updates.m_Servers) {
-    ServerIndex Index = Servers.find(Id);
-    if (Index != NoServer &&
-        Servers.row(Index).m_Incarnation == Row.m_Incarnation)
-      Servers.applyRateLimitUpdate(Index, Peer, Row.m_Update, now());
-  }
+  for (const auto &[Id, Row] : Updates.m_Servers)
+    m_Dispatcher.fleet().applyRateLimitUpdate(Row.m_Incarnation, Peer,
+                                              {Id, Row.m_Update}, now());
 }
 
 std::vector<std::string> Node::encodeAffinityAndLoadUpdates() {
