Let no response that left before a limit was named end it

On links of 55 ms a response without the header can be read after another VM told of the limit; taken as newer, it ended the limit at all VMs until the next response named it again. Change: the absence of a limit counts from the time at which the request was sent, as the response was made after it. Evidence: the new case of unit.rate_limit failed before (ended by a response to a request of 0.5 s before); the model's suites pass as before. Conclusion: mended.

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -370,7 +370,8 @@
   void recordResponse(BackendState &Row, Time Now);
   bool isStalled(const BackendState &Row, Time Now) const;
   void rebuildPools();
-  void applyResponse(ServerIndex Index, const AttemptReport &Report, Time Now);
+  void applyResponse(ServerIndex Index, const AttemptReport &Report,
+                     Time StartedAt, Time Now);
   // A server's limit and requests outlive its row: a server that is not listed
   // for a while, or listed later at this VM, still counts its requests.
   struct KnownRateLimit {
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -517,7 +517,7 @@
 
 // Applies what a server says of itself in a response.
 void Fleet::applyResponse(ServerIndex Index, const AttemptReport &Report,
-                          Time Now) {
+                          Time StartedAt, Time Now) {
   BackendState &Row = mutableRow(Index);
   bool Ran = Report.m_Outcome == AttemptOutcome::Served ||
              Report.m_Outcome == AttemptOutcome::Failed;
@@ -536,13 +536,14 @@
       m_HighLoads.erase(Index);
   }
   applyServerHints(Index, Report.m_Leaving, Report.m_BackoffFor, Now);
-  // A server that refuses a request may leave out its limit.
   if (Report.m_RateLimitHint == RateLimitHint::Named)
     observeRateLimit(Row.m_Incarnation, Row.m_Info.m_Id, Report.m_RateLimit,
                      Now, RateLimitSource::Response, Now);
+  // A server that refuses a request may leave out its limit, and a response
+  // may have left the server before another that names one.
   else if (Report.m_RateLimitHint == RateLimitHint::NotNamed && Ran)
-    observeRateLimit(Row.m_Incarnation, Row.m_Info.m_Id, std::nullopt, Now,
-                     RateLimitSource::Response, Now);
+    observeRateLimit(Row.m_Incarnation, Row.m_Info.m_Id, std::nullopt,
+                     StartedAt, RateLimitSource::Response, Now);
 }
 
 void Fleet::finished(ServerIndex Index, const AttemptReport &Report,
@@ -566,7 +567,7 @@
   // nothing about it.
   if (Report.m_Outcome != AttemptOutcome::Misdirected &&
       Report.m_Outcome != AttemptOutcome::Abandoned)
-    applyResponse(Index, Report, Now);
+    applyResponse(Index, Report, StartedAt, Now);
   double Failure = 0;
   switch (Report.m_Outcome) {
   case AttemptOutcome::Abandoned:
--- a/test/RateLimitTest.cpp
+++ b/test/RateLimitTest.cpp
@@ -321,6 +321,21 @@
     }
   }
 
+  TEST_CASE("a response on its way when a limit was named does not end it") {
+    for (Duration SentAt : {Duration{1500ms}, Duration{2500ms}}) {
+      CAPTURE(SentAt.count());
+      Fleet Servers;
+      Servers.update({oneServer()}, 1s);
+      Servers.started(OnlyServer, ServiceTime, SentAt);
+      Servers.applyRateLimitUpdate(Servers.row(OnlyServer).m_Incarnation, 1,
+                                   {"s-0", {5.0, 2s, 1}}, 2s);
+      AttemptReport Report;
+      Report.m_RateLimitHint = RateLimitHint::NotNamed;
+      Servers.finished(OnlyServer, Report, SentAt, 3s);
+      CHECK(Servers.rateLimit(OnlyServer)->isLimited() == (SentAt < 2s));
+    }
+  }
+
   TEST_CASE("a refusal by a limited server is no failure") {
     for (bool Limited : {false, true}) {
       CAPTURE(Limited);
