--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-enum class FaultTarget : std::uint8_t { Node, Store, Server, Operator };
+// Link: between nodes and servers.
+enum class FaultTarget : std::uint8_t { Node, Link, Store, Server, Operator };
 
 struct FaultSpec {
   const char *m_Name;
@@ -27,6 +28,10 @@
     {"node_freeze", FaultTarget::Node},
     {"node_hup", FaultTarget::Node},
     {"herd_kill", FaultTarget::Node},
+    {"cut_silent", FaultTarget::Link},
+    {"cut_reset", FaultTarget::Link},
+    {"cut_refusing", FaultTarget::Link},
+    {"cut_service", FaultTarget::Link},
     {"store_silent", FaultTarget::Store},
     {"store_busy", FaultTarget::Store},
     {"store_reset", FaultTarget::Store},
@@ -67,6 +72,9 @@
 // Longest time from a node's end until its next process serves requests.
 constexpr Duration RestartTime = 1s;
 constexpr Duration DeadlyCallsTime = 9s;
+// Time for which nodes are cut off from the servers.
+constexpr Duration MinCutTime = 7s;
+constexpr Duration MaxCutTime = 10s;
 // Age of the copy from which a store is restored.
 constexpr Duration MinCopyAge = 2s;
 constexpr Duration MaxCopyAge = 9s;
@@ -151,6 +159,9 @@
       m_Site.addDisturbance(StartedAt, now());
       break;
     }
+    case FaultTarget::Link:
+      co_await injectLinkFault(Name);
+      break;
     case FaultTarget::Server:
       co_await injectServerFault(Name);
       break;
@@ -189,6 +200,34 @@
   }
 }
 
+// Cuts one node, or all nodes of a failure domain, off from the servers.
+asio::awaitable<void> FaultInjector::injectLinkFault(std::string Name) {
+  std::size_t Index = m_Random.below(m_Nodes.size());
+  std::vector<std::size_t> CutNodes{Index};
+  if (m_Random.below(2) == 0)
+    CutNodes = m_Site.domainNodes(Index);
+  site::LinkCut Kind = site::LinkCut::Reset;
+  if (Name == "cut_silent")
+    Kind = site::LinkCut::Silent;
+  if (Name == "cut_refusing")
+    Kind = site::LinkCut::RefuseNew;
+  // The others must be able to serve the callers of these.
+  std::set<std::size_t> AllCut = m_CutNodes;
+  AllCut.insert(CutNodes.begin(), CutNodes.end());
+  if (AllCut.size() * 2 > m_Nodes.size() ||
+      AllCut.size() < m_CutNodes.size() + CutNodes.size())
+    co_return;
+  m_CutNodes = std::move(AllCut);
+  std::string Service;
+  if (Name == "cut_service")
+    Service = m_Site.servers()[randomServer()]->profile().m_Service;
+  m_Site.cutFromServers(CutNodes, Kind, Service);
+  co_await sleepFor(randomDuration(MinCutTime, MaxCutTime));
+  m_Site.endCut(CutNodes);
+  for (std::size_t Node : CutNodes)
+    m_CutNodes.erase(Node);
+}
+
 asio::awaitable<void> FaultInjector::injectStoreFault(std::string Name) {
   site::StoreFaults NewFaults;
   site::ProxyFaults ConnectionFaults;
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -5,6 +5,8 @@
 #include "soak/Nodes.h"
 #include "standins/site/Site.h"
 
+#include <set>
+
 namespace rhubarb::soak {
 
 std::vector<std::string> faultNames();
@@ -24,6 +26,7 @@
 private:
   net::asio::awaitable<void> inject(std::string Name);
   net::asio::awaitable<void> injectNodeFault(std::string Name);
+  net::asio::awaitable<void> injectLinkFault(std::string Name);
   net::asio::awaitable<void> injectStoreFault(std::string Name);
   net::asio::awaitable<void> injectServerFault(std::string Name);
   net::asio::awaitable<void> restorePast();
@@ -39,6 +42,7 @@
   Nodes &m_Nodes;
   Random m_Random;
   int m_Active = 0;
+  std::set<std::size_t> m_CutNodes; // Cut off from servers at present.
   Time m_RestoredAt{0};
   bool m_SendingDeadlyCalls = false;
 };
--- a/standins/site/Callers.cpp
+++ b/standins/site/Callers.cpp
@@ -72,13 +72,13 @@
   Time Deadline = now() + Class.m_Deadline;
   bool NoRetry = false;
   Duration RetryDelay =
-      co_await callOnce(Domain, Class, Class.m_Deadline, NoRetry);
+      co_await callOnce(Domain, Class, Class.m_Deadline, true, NoRetry);
   Duration Remaining = Deadline - now();
   auto MaxDelay = Duration(static_cast<std::int64_t>(
       static_cast<double>(Remaining.count()) * MaxRetryDelayShare));
   if (!NoRetry && Remaining > Duration{0}) {
     co_await sleepFor(std::min(RetryDelay, MaxDelay));
-    co_await callOnce(Domain, Class, Deadline - now(), NoRetry);
+    co_await callOnce(Domain, Class, Deadline - now(), false, NoRetry);
   }
   --m_InFlight;
 }
@@ -116,7 +116,7 @@
 asio::awaitable<Duration> SiteCallers::callOnce(std::string Domain,
                                                 CallClass Class,
                                                 Duration Remaining,
-                                                bool &NoRetry) {
+                                                bool IsFirst, bool &NoRetry) {
   std::string Address = co_await lookUp(Domain);
   if (Address.empty()) {
     ++countsOf(Class).m_ByOutcome["no address"];
@@ -140,6 +140,7 @@
   m_CallRecords[Id].m_Idempotent = Class.m_Idempotent;
   ++countsOf(Class).m_Sent;
   bool Abandons = m_Random.uniform() < AbandonShare;
+  Time SentAt = now();
   HttpResult CallResult =
       co_await m_Client.send(Address, std::move(Request),
                              now() + (Abandons ? AbandonDeadline : Remaining),
@@ -149,6 +150,9 @@
                           guaranteesNotRun(CallResult.m_Response.m_Status);
   bool Answered = CallResult.m_Failure == HttpFailure::None &&
                   CallResult.m_Response.m_Status == 200;
+  if (IsFirst && !Abandons && Class.m_CallsPerSecond > 0)
+    m_FirstTries.push_back(
+        {Address.substr(0, Address.rfind(':')), SentAt, Answered});
   NoRetry = Answered || Abandons ||
             (!Class.m_Idempotent && !GuaranteedNotRun &&
              CallResult.m_Failure != HttpFailure::Connect);
--- a/standins/site/Callers.h
+++ b/standins/site/Callers.h
@@ -44,6 +44,13 @@
   std::map<std::string, int> m_ByOutcome;
 };
 
+// The first attempt of a call.
+struct FirstTry {
+  std::string m_VmIp;
+  Time m_SentAt{0};
+  bool m_Served = false;
+};
+
 // Sends calls and checks the responses.
 class SiteCallers {
 public:
@@ -56,6 +63,8 @@
   void stop() { m_Stopped = true; }
   int inFlight() const { return m_InFlight; }
   const CallCounts &counts() const { return m_Counts; }
+  // First attempts of the calls that their callers did not abandon.
+  const std::vector<FirstTry> &firstTries() const { return m_FirstTries; }
   // Runs the checks that need the records of the whole run. Returns every
   // violation, including those found while calls were in flight.
   std::vector<std::string> verify() const;
@@ -69,7 +78,8 @@
   asio::awaitable<void> sendCalls(std::string Domain, CallClass Class);
   asio::awaitable<void> callWithRetry(std::string Domain, CallClass Class);
   asio::awaitable<Duration> callOnce(std::string Domain, CallClass Class,
-                                     Duration Remaining, bool &NoRetry);
+                                     Duration Remaining, bool IsFirst,
+                                     bool &NoRetry);
   CallCounts &countsOf(const CallClass &Class);
   asio::awaitable<std::string> lookUp(std::string Domain);
   void check(const std::string &Id, const CallClass &Class,
@@ -90,6 +100,7 @@
   std::map<std::string, CachedLookup> m_LookupCache;
   std::map<std::string, CallRecord> m_CallRecords;
   std::vector<std::string> m_Violations;
+  std::vector<FirstTry> m_FirstTries;
   CallCounts m_Counts;
   CallCounts m_SingleCounts; // Of the calls of sendOnce().
   int m_InFlight = 0;
--- a/standins/site/Proxy.cpp
+++ b/standins/site/Proxy.cpp
@@ -21,6 +21,7 @@
       : m_Caller(std::move(Caller)), m_Target(Io) {}
   tcp::socket m_Caller;
   tcp::socket m_Target;
+  std::string m_CallerIp;
   bool m_Silent = false;
 };
 
@@ -64,6 +65,13 @@
     co_return;
   boost::system::error_code Ignored;
   auto Caller = Proxied->m_Caller.remote_endpoint(Ignored);
+  Proxied->m_CallerIp = Caller.address().to_string();
+  LinkCut Cut = cutOf(Proxied->m_CallerIp);
+  if (Cut == LinkCut::Reset || Cut == LinkCut::RefuseNew) {
+    close(*Proxied);
+    co_return;
+  }
+  Proxied->m_Silent = Cut == LinkCut::Silent;
   // Connects from the caller's IP address, so that the server can tell which VM
   // sent the request.
   if (!Ignored) {
@@ -108,17 +116,44 @@
   m_Connections.erase(Proxied);
 }
 
-void FaultProxy::resetOpenConnections() {
+// Closes both sides with a reset.
+void FaultProxy::close(Connection &Proxied) {
   boost::system::error_code Ignored;
-  for (const ConnectionPtr &Proxied : m_Connections) {
-    for (tcp::socket *Socket : {&Proxied->m_Caller, &Proxied->m_Target}) {
-      Socket->set_option(asio::socket_base::linger(true, 0), Ignored);
-      Socket->close(Ignored);
-    }
+  for (tcp::socket *Socket : {&Proxied.m_Caller, &Proxied.m_Target}) {
+    Socket->set_option(asio::socket_base::linger(true, 0), Ignored);
+    Socket->close(Ignored);
   }
+}
+
+void FaultProxy::resetOpenConnections() {
+  for (const ConnectionPtr &Proxied : m_Connections)
+    close(*Proxied);
   m_Connections.clear();
 }
 
+LinkCut FaultProxy::cutOf(const std::string &CallerIp) const {
+  auto Cut = m_Cuts.find(CallerIp);
+  return Cut == m_Cuts.end() ? LinkCut::None : Cut->second;
+}
+
+void FaultProxy::setCut(const std::string &CallerIp, LinkCut Cut) {
+  bool WasSilent = cutOf(CallerIp) == LinkCut::Silent;
+  m_Cuts[CallerIp] = Cut;
+  for (auto Position = m_Connections.begin();
+       Position != m_Connections.end();) {
+    ConnectionPtr Proxied = *Position++;
+    if (Proxied->m_CallerIp != CallerIp)
+      continue;
+    if (Cut == LinkCut::Silent)
+      Proxied->m_Silent = true;
+    // Bytes were lost on the silent connections.
+    else if (Cut == LinkCut::Reset || (Cut == LinkCut::None && WasSilent)) {
+      close(*Proxied);
+      m_Connections.erase(Proxied);
+    }
+  }
+}
+
 void FaultProxy::setRefusing(bool Refusing) {
   if (Refusing == !m_Acceptor.is_open())
     return;
--- a/standins/site/Proxy.h
+++ b/standins/site/Proxy.h
@@ -21,6 +21,14 @@
   bool m_DropToCaller = false;
 };
 
+// How a caller is cut off from the target.
+enum class LinkCut : std::uint8_t {
+  None,
+  Silent,    // Connections stay open and carry nothing.
+  Reset,     // Open connections are reset, new ones are refused.
+  RefuseNew, // Open connections work, new ones are refused.
+};
+
 // Forwards connections to a fixed target.
 class FaultProxy {
 public:
@@ -31,6 +39,8 @@
   // Refuses connections and ends the open ones, as if the target's process had
   // ended, or accepts connections again.
   void setRefusing(bool Refusing);
+  // Cuts the caller with an IP address off from the target, or ends the cut.
+  void setCut(const std::string &CallerIp, LinkCut Cut);
   // Stops forwarding on the open connections for good, without closing them.
   // New connections work.
   void silenceOpenConnections();
@@ -38,6 +48,7 @@
 private:
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
+  static void close(Connection &Proxied);
   asio::awaitable<void> acceptLoop();
   asio::awaitable<void> serve(ConnectionPtr Proxied);
   asio::awaitable<void> pump(ConnectionPtr Proxied, bool Forward);
@@ -48,7 +59,10 @@
   std::string m_Ip;
   std::uint16_t m_Port = 0;
   std::set<ConnectionPtr> m_Connections;
+  LinkCut cutOf(const std::string &CallerIp) const;
+
   ProxyFaults m_Faults;
+  std::map<std::string, LinkCut> m_Cuts; // By the caller's IP address.
 };
 
 } // namespace rhubarb::site
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -5,7 +5,9 @@
 #include "net/Messages.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
+#include <numeric>
 
 namespace rhubarb::site {
 namespace {
@@ -180,6 +182,39 @@
       Each.m_Until = now();
 }
 
+std::vector<std::size_t> Site::domainNodes(std::size_t Node) const {
+  auto Size = static_cast<std::size_t>(m_Settings.m_NodesPerDomain);
+  std::vector<std::size_t> Found(Size);
+  std::iota(Found.begin(), Found.end(), Node / Size * Size);
+  return Found;
+}
+
+void Site::cutFromServers(const std::vector<std::size_t> &CutNodes,
+                          LinkCut Kind, const std::string &Service) {
+  Cut New;
+  New.m_From = now();
+  for (std::size_t Node : CutNodes) {
+    std::string Ip = nodeIp(static_cast<int>(Node));
+    New.m_Ips.insert(Ip);
+    for (std::size_t I = 0; I < m_Servers.size(); ++I)
+      if (Service.empty() || m_Servers[I]->profile().m_Service == Service)
+        m_ServerProxies[I]->setCut(Ip, Kind);
+  }
+  if (Service.empty())
+    m_Cuts.push_back(std::move(New));
+}
+
+void Site::endCut(const std::vector<std::size_t> &CutNodes) {
+  for (std::size_t Node : CutNodes) {
+    std::string Ip = nodeIp(static_cast<int>(Node));
+    for (auto &Proxy : m_ServerProxies)
+      Proxy->setCut(Ip, LinkCut::None);
+    for (Cut &Each : m_Cuts)
+      if (Each.m_Ips.contains(Ip) && Each.m_Until.count() == 0)
+        Each.m_Until = now();
+  }
+}
+
 void Site::sendDeadlyCall() {
   const std::string &Domain =
       m_Settings.m_Domains[m_Random.below(m_Settings.m_Domains.size())];
@@ -394,8 +429,49 @@
                          std::to_string(Later) + " more");
 }
 
+// From the StableWindow after a cut began, first tries at the nodes that are
+// cut off must be served two thirds as often as those at the others, unless few
+// fail.
+void Site::verifyCuts(std::vector<std::string> &Violations) const {
+  constexpr double MinShare = 2.0 / 3;
+  constexpr double AllowedFailures = 10;
+  constexpr double AllowedFailureShare = 0.02;
+  struct Tries {
+    double m_Sent = 0;
+    double m_Served = 0;
+  };
+  for (const Cut &Each : m_Cuts) {
+    Tries AtCut;
+    Tries Elsewhere;
+    for (const FirstTry &Try : m_Callers->firstTries()) {
+      if (Try.m_SentAt < Each.m_From + StableWindow ||
+          (Each.m_Until.count() > 0 && Try.m_SentAt >= Each.m_Until) ||
+          overlapsNodeDisturbance(Try.m_VmIp, Try.m_SentAt) ||
+          overlapsDisturbance(Try.m_SentAt, Try.m_SentAt))
+        continue;
+      Tries &Counted = Each.m_Ips.contains(Try.m_VmIp) ? AtCut : Elsewhere;
+      Counted.m_Sent += 1;
+      Counted.m_Served += Try.m_Served ? 1 : 0;
+    }
+    double Failed = AtCut.m_Sent - AtCut.m_Served;
+    double Allowed = AllowedFailures +
+                     (AtCut.m_Sent + Elsewhere.m_Sent) * AllowedFailureShare;
+    if (Elsewhere.m_Sent > 0 && Failed > Allowed &&
+        AtCut.m_Served * Elsewhere.m_Sent <
+            MinShare * Elsewhere.m_Served * AtCut.m_Sent)
+      Violations.push_back("recover: nodes cut off from the servers served " +
+                           std::to_string(std::lround(AtCut.m_Served)) +
+                           " of " + std::to_string(std::lround(AtCut.m_Sent)) +
+                           " first tries, the others " +
+                           std::to_string(std::lround(Elsewhere.m_Served)) +
+                           " of " +
+                           std::to_string(std::lround(Elsewhere.m_Sent)));
+  }
+}
+
 std::vector<std::string> Site::verify() const {
   std::vector<std::string> Violations = m_Callers->verify();
+  verifyCuts(Violations);
   verifyDeadlyCalls(Violations);
   verifyRateLimits(Violations);
   verifyConfig(Violations);
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -72,6 +72,13 @@
   // Sends a request from a random failure domain that crashes each server that
   // begins to run it. It is the same one each time.
   void sendDeadlyCall();
+  // Cuts nodes off from the servers, or from those of one service if it is not
+  // empty, and ends the cut.
+  void cutFromServers(const std::vector<std::size_t> &CutNodes, LinkCut Kind,
+                      const std::string &Service);
+  void endCut(const std::vector<std::size_t> &CutNodes);
+  // Returns the nodes of the failure domain of a node.
+  std::vector<std::size_t> domainNodes(std::size_t Node) const;
   // Replaces a server. With Gracefully, the old one drains before it stops;
   // otherwise it crashes. The new one starts at once.
   void replaceServer(std::size_t Index, bool Gracefully);
@@ -105,6 +112,7 @@
   void verifyRateLimits(std::vector<std::string> &Violations) const;
   void verifyConfig(std::vector<std::string> &Violations) const;
   void verifyEvacuations(std::vector<std::string> &Violations) const;
+  void verifyCuts(std::vector<std::string> &Violations) const;
   void verifyDeadlyCalls(std::vector<std::string> &Violations) const;
   asio::awaitable<void> crashForAWhile(std::size_t Index);
   void rewriteLostState();
@@ -138,6 +146,13 @@
   };
   std::vector<Evacuation> m_Evacuations;
   std::vector<Time> m_DeadlyRuns;
+  // Nodes that are cut off from all servers.
+  struct Cut {
+    std::set<std::string> m_Ips;
+    Time m_From{0};
+    Time m_Until{0}; // 0: not ended.
+  };
+  std::vector<Cut> m_Cuts;
   Random m_Random;
   Time m_RewriteAt{0}; // When lost state is written again; 0: nothing is lost.
   Time m_LastReport{0};
