Pass requests on through another VM when the servers cannot be reached

Cause: a request had one way to a server, the link of the VM that took it. The fleet as a whole reached every server, and the caller's VM did not use the fleet. Class: a VM's view of the servers is taken for the state of the servers. Ruled out: servers given up too soon (no request arrived from these VMs); look-ups, which would help new connections only.

Change: a VM that seems cut off from a pool (three servers in a row without a response, or more than half of them unreachable, or an attempt that could not reach any) passes the request to another VM on a port of its own, which serves it like a caller's. One hop by construction: what came so is never passed on. Only known VMs may pass requests on. Attempts, retry budgets, limits, suspects and cold starts count where the request leaves for the server; attempts made before are taken off. A VM that does not reach the servers either declines at once, and another is asked, three at most; VMs of the own region first, fewer of them the fewer reach the servers; allowed regions bind the choice. Where the other VM promises that the request has not run, the next may get it; a broken connection counts as may have run. Health checks of unresponsive servers show the end of the cut. VMs of older programs refuse the connection and are passed over. Log line request_detoured, counters rhubarb_detours_total and rhubarb_detours_taken_total.

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -329,9 +329,15 @@
   bool isCold(const BackendState &Row, Time Now) const {
     return Now < Row.m_ColdUntil;
   }
+  // Whether this VM seems to be cut off from all servers of a pool: several of
+  // them in a row gave no response, and no other one has.
+  bool isCutOff(int Pool) const;
+  // Returns the share of a pool's servers in service that this VM cannot reach.
+  double unreachableShare(int Pool, Time Now) const;
   // Returns the stalled servers and the unreachable ones whose ejection time is
   // over. A health check with the result Healthy or Full makes them eligible.
-  // Servers with hardly any rate are checked for whether that has changed.
+  // Servers with hardly any rate are checked for whether that has changed, and
+  // unresponsive ones for whether this VM is still cut off.
   std::vector<ServerIndex> dueHealthChecks(Time Now) const;
 
   int poolCount() const { return static_cast<int>(m_Pools.size()); }
@@ -368,6 +374,7 @@
   void setReplaced(ServerIndex Index);
   void setUnreachable(ServerIndex Index, Time Now);
   void recordResponse(BackendState &Row, Time Now);
+  void recordNoResponse(ServerIndex Index);
   bool isStalled(const BackendState &Row, Time Now) const;
   void rebuildPools();
   void applyResponse(ServerIndex Index, const AttemptReport &Report,
@@ -416,6 +423,8 @@
   std::size_t m_PeerCount = 0;
   // Peer processes that sent updates about limits of late.
   std::map<std::uint64_t, Time> m_RateLimitPeers;
+  // Servers that gave no response since the last one of any server, by pool.
+  std::map<int, std::set<ServerIndex>> m_Unresponsive;
   // Share of recent attempts that could not reach their server. From one half
   // on, this process itself may be the one that is partitioned.
   double m_UnreachableRate = 0;
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -32,6 +32,8 @@
 // Health checks go to a limited server like requests of the lowest priority.
 constexpr std::size_t LowestPriorityClass = 2;
 // How often each update about a limited server is told.
+// Servers without a response from which on this VM counts as cut off.
+constexpr std::size_t MinUnresponsive = 3;
 constexpr int RateLimitTells = 3;
 constexpr Duration RateLimitUpdateIntervalPerVm = 5ms;
 constexpr Duration RateLimitPeerActiveFor = 1s;
@@ -232,6 +234,8 @@
   for (auto Position = m_ById.begin(); Position != m_ById.end();) {
     const BackendState &Row = row(Position->second);
     if (!Row.m_Listed && Row.m_OwnRequests == 0) {
+      for (auto &[Pool, Servers] : m_Unresponsive)
+        Servers.erase(Position->second);
       m_FreeRows.push_back(Position->second);
       Position = m_ById.erase(Position);
       continue;
@@ -484,6 +488,7 @@
 // partitioned.
 void Fleet::setUnreachable(ServerIndex Index, Time Now) {
   m_UnreachableRate += UnreachableRateWeight * (1 - m_UnreachableRate);
+  recordNoResponse(Index);
   eject(mutableRow(Index), Now);
   if (m_UnreachableRate < MaxUnreachableRate)
     m_PendingEvents[Index] = ServerEvent::Unreachable;
@@ -495,6 +500,38 @@
   Row.m_LastResponseAt = Now;
 }
 
+void Fleet::recordNoResponse(ServerIndex Index) {
+  m_Unresponsive[row(Index).m_Info.m_Pool].insert(Index);
+}
+
+bool Fleet::isCutOff(int Pool) const {
+  auto Unresponsive = m_Unresponsive.find(Pool);
+  if (Unresponsive == m_Unresponsive.end())
+    return false;
+  auto Listed = static_cast<std::size_t>(
+      std::count_if(Unresponsive->second.begin(), Unresponsive->second.end(),
+                    [&](ServerIndex Index) { return row(Index).m_Listed; }));
+  return Listed > 0 &&
+         Listed >= std::min(MinUnresponsive, serversInPool(Pool).size());
+}
+
+double Fleet::unreachableShare(int Pool, Time Now) const {
+  double InService = 0;
+  double Unreachable = 0;
+  for (ServerIndex Index : serversInPool(Pool)) {
+    ExclusionReason Reason = exclusionReason(row(Index), Now);
+    if (Reason == ExclusionReason::Leaving ||
+        Reason == ExclusionReason::Evacuated ||
+        Reason == ExclusionReason::Replaced)
+      continue;
+    InService += 1;
+    if (Reason == ExclusionReason::Unreachable ||
+        Reason == ExclusionReason::Stalled)
+      Unreachable += 1;
+  }
+  return InService > 0 ? Unreachable / InService : 0;
+}
+
 // Excludes a server whose address now belongs to another server, until it is
 // listed with a new start time or address. An address is reassigned only after
 // its former server has terminated.
@@ -577,14 +614,20 @@
     return;
   case AttemptOutcome::Silent:
     // A server that has responded since the start of the attempt is only slow.
-    if (Row.m_SilentSince <= StartedAt)
+    if (Row.m_SilentSince <= StartedAt) {
       eject(Row, Now);
+      recordNoResponse(Index);
+    }
     Failure = 1;
     break;
   case AttemptOutcome::Cut:
+    Failure = 1;
+    recordResponse(Row, Now);
+    break;
   case AttemptOutcome::Failed:
     Failure = 1;
     recordResponse(Row, Now);
+    m_Unresponsive.erase(Row.m_Info.m_Pool);
     break;
   case AttemptOutcome::Refused:
     // A refusal by a full or a limited server is legitimate; otherwise it is a
@@ -595,12 +638,14 @@
             ? 0
             : 1;
     recordResponse(Row, Now);
+    m_Unresponsive.erase(Row.m_Info.m_Pool);
     break;
   case AttemptOutcome::Misdirected:
     setReplaced(Index);
     return;
   case AttemptOutcome::Served:
     recordResponse(Row, Now);
+    m_Unresponsive.erase(Row.m_Info.m_Pool);
     Row.m_EjectionTime = Duration{0};
     Row.m_EjectedUntil = Time{0};
     Row.m_NeedsHealthCheck = false;
@@ -628,11 +673,13 @@
   if (Check == HealthCheckResult::Late) {
     Row.m_EjectionTime = Duration{0};
     eject(Row, Now);
+    recordNoResponse(Index);
     return;
   }
   if (Row.m_NeedsHealthCheck)
     m_PendingEvents[Index] = ServerEvent::Back;
   recordResponse(Row, Now);
+  m_Unresponsive.erase(Row.m_Info.m_Pool);
   Row.m_EjectionTime = Duration{0};
   Row.m_NeedsHealthCheck = false;
   Row.m_SuspectUntil = Time{0};
@@ -708,7 +755,12 @@
     }
     if (!rateAllows(Index, LowestPriorityClass, 0, Now))
       continue;
-    if (Reason == ExclusionReason::Stalled ||
+    auto Unresponsive = m_Unresponsive.find(Row.m_Info.m_Pool);
+    bool ShowsCut = Reason == ExclusionReason::None &&
+                    Unresponsive != m_Unresponsive.end() &&
+                    Unresponsive->second.contains(Index) &&
+                    isCutOff(Row.m_Info.m_Pool);
+    if (Reason == ExclusionReason::Stalled || ShowsCut ||
         (Reason == ExclusionReason::Unreachable && Now >= Row.m_EjectedUntil))
       DueServers.push_back(Index);
   }
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -81,6 +81,7 @@
     CHECK(Settings.m_Node.m_RegionOf.at("b-1") == "b");
     CHECK(Settings.m_Node.m_CallerPort == 8161);
     CHECK(Settings.m_Node.m_PeerPort == 7720);
+    CHECK(Settings.m_Node.m_DetourPort == 7721);
     CHECK(Settings.m_Node.m_Seeds ==
           std::vector<std::string>{"10.1.0.10", "10.2.0.40"});
     CHECK(Settings.m_Node.m_GracePeriod == 6s);
--- /dev/null
+++ b/tools/rhubarb-node/Headers.h
@@ -0,0 +1,22 @@
+// Header fields of messages that the node passes on.
+#pragma once
+
+#include "net/Http.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rhubarb::node {
+
+// Returns the text in lower case (ASCII).
+std::string lower(std::string_view Text);
+// Copies the end-to-end header fields: no hop-by-hop fields and none that a
+// Connection field names.
+std::vector<HeaderField>
+endToEndHeaders(const std::vector<HeaderField> &Fields);
+// Sets a field to a value, in place of all fields of that name.
+void setField(std::vector<HeaderField> &Fields, const std::string &Name,
+              std::string Value);
+
+} // namespace rhubarb::node
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -56,6 +56,14 @@
   return Limits;
 }
 
+// Every VM frames its responses, so that a lost connection never looks like the
+// end of one.
+HttpClientLimits detourLimits() {
+  HttpClientLimits Limits = backendLimits();
+  Limits.m_AcceptCloseDelimited = false;
+  return Limits;
+}
+
 HttpServerLimits callerLimits(const RequestLimits &Requested,
                               std::size_t MaxConnections) {
   HttpServerLimits Limits;
@@ -77,10 +85,15 @@
       m_HeaderNames(std::move(Names)),
       m_BackendClient(Io, m_Reachability, m_Settings.m_Ip, backendLimits()),
       m_PeerClient(Io, m_Reachability, m_Settings.m_Ip),
+      m_DetourClient(Io, m_Reachability, m_Settings.m_Ip, detourLimits()),
       m_CallerServer(
           Io, m_Reachability,
           callerLimits(RequestLimits{}, m_Settings.m_MaxConnections),
           [this](HttpRequest R) { return serveRequest(std::move(R)); }),
+      m_DetourServer(
+          Io, m_Reachability,
+          callerLimits(RequestLimits{}, m_Settings.m_MaxConnections),
+          [this](HttpRequest R) { return serveDetour(std::move(R)); }),
       m_ReadyServer(
           Io, m_Reachability, HttpServerLimits{},
           [this](HttpRequest R) { return serveReadiness(std::move(R)); }),
@@ -100,6 +113,7 @@
       m_Dispatcher(m_Settings.m_Region, limitsOf(m_Settings), {},
                    stableHash(m_Settings.m_Ip)),
       m_Members(m_Settings.m_Ip, m_Settings.m_Domain, memberLimits(m_Settings)),
+      m_Detours(m_Settings.m_Region, stableHash(m_Settings.m_Ip)),
       m_ListReadPolicy(m_Settings.m_ListPropagationBound),
       m_OperatorReadPolicy(m_Settings.m_ConfigPropagationBound),
       m_Incarnation(static_cast<std::uint64_t>(unixMillis())) {
@@ -158,6 +172,7 @@
                           Port{m_ReadyServer, m_Settings.m_ReadyPort},
                           Port{m_LookupServer, m_Settings.m_LookupPort},
                           Port{m_PeerServer, m_Settings.m_PeerPort},
+                          Port{m_DetourServer, m_Settings.m_DetourPort},
                           Port{m_MetricsServer, m_Settings.m_MetricsPort}}) {
     if (Row.m_Port == 0)
       continue;
@@ -190,6 +205,7 @@
   m_Leaving = true;
   m_LeavingSince = now();
   m_CallerServer.disableKeepAlive();
+  m_DetourServer.disableKeepAlive();
   sendHeartbeats();
   Time End = m_LeavingSince + m_Settings.m_GracePeriod - Reserve;
   Time Close = m_LeavingSince +
@@ -197,10 +213,14 @@
   while (now() < Close)
     co_await sleepFor(TickInterval);
   m_CallerServer.stopAccepting();
-  while (now() < End && m_CallerServer.activeRequests() > 0)
+  m_DetourServer.stopAccepting();
+  auto UnderWay = [this] {
+    return m_CallerServer.activeRequests() + m_DetourServer.activeRequests();
+  };
+  while (now() < End && UnderWay() > 0)
     co_await sleepFor(TickInterval);
   logEvent(Severity::Info, "drained",
-           {{"under_way", std::to_string(m_CallerServer.activeRequests())}});
+           {{"under_way", std::to_string(UnderWay())}});
   m_Stopped = true;
 }
 
@@ -212,7 +232,8 @@
   if (Next.m_CallerPort != m_Settings.m_CallerPort ||
       Next.m_ReadyPort != m_Settings.m_ReadyPort ||
       Next.m_LookupPort != m_Settings.m_LookupPort ||
-      Next.m_PeerPort != m_Settings.m_PeerPort)
+      Next.m_PeerPort != m_Settings.m_PeerPort ||
+      Next.m_DetourPort != m_Settings.m_DetourPort)
     NeedRestart.emplace_back("ports");
   m_Settings.m_RegionOf = Next.m_RegionOf;
   m_AppliedListChanges = 0; // Regions of servers may have changed.
@@ -241,8 +262,10 @@
             {"routes", std::to_string(Next.m_Routes.size())}});
   m_Routes.apply(std::move(Next));
   m_ConfigDocument = std::move(Document);
-  m_CallerServer.setLimits(
-      callerLimits(m_Routes.config().m_Limits, m_Settings.m_MaxConnections));
+  HttpServerLimits Limits =
+      callerLimits(m_Routes.config().m_Limits, m_Settings.m_MaxConnections);
+  m_CallerServer.setLimits(Limits);
+  m_DetourServer.setLimits(Limits);
   m_AppliedListChanges = 0; // Pools of servers may have changed.
   applyList();
 }
@@ -316,6 +339,7 @@
       logStateChanges();
       m_BackendClient.closeExpiredConnections(Now);
       m_PeerClient.closeExpiredConnections(Now);
+      m_DetourClient.closeExpiredConnections(Now);
     }
     Duration Pause =
         m_QueuedExchanges.empty() ? IdleTickInterval : TickInterval;
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -12,6 +12,7 @@
 #include "net/ServerListUpdate.h"
 #include "net/ServerUpdates.h"
 
+#include "rhubarb/Detours.h"
 #include "rhubarb/Dispatch.h"
 #include "rhubarb/Members.h"
 #include "rhubarb/Readers.h"
@@ -42,6 +43,9 @@
   std::uint16_t m_LookupPort = 0;
   std::uint16_t m_MetricsPort = 0; // 0 disables the metrics listener.
   std::uint16_t m_PeerPort = 0;    // UDP and TCP port, the same on every VM.
+  // TCP port for requests that other VMs pass on, the same on every VM; 0: this
+  // VM neither takes nor passes on any.
+  std::uint16_t m_DetourPort = 0;
   // IP addresses of other VMs, possibly stale.
   std::vector<std::string> m_Seeds;
   Duration m_LookupTtl = 2s; // How long callers cache a look-up response.
@@ -97,6 +101,8 @@
   // target, credentials and body.
   std::uint64_t m_Fingerprint = 0;
   bool m_Idempotent = false;
+  // Another VM has passed the request on; it is not passed on again.
+  bool m_Detoured = false;
   int m_MaxAttempts = 1;
   Time m_CallerDeadline{0};
   Time m_ExecutionDeadline{0}; // A server may execute the request until then.
@@ -229,6 +235,7 @@
 private:
   // --- Requests (NodeRequests.cpp)
   asio::awaitable<HttpResponse> serveRequest(HttpRequest Request);
+  asio::awaitable<HttpResponse> serveExchange(ExchangePtr Work);
   asio::awaitable<HttpResponse> attemptUntilAnswered(ExchangePtr Work);
   asio::awaitable<void> dispatch(ExchangePtr Work);
   Duration retryAfterUntilReady();
@@ -269,6 +276,21 @@
   void logRequest(const Exchange &Work, int Status,
                   std::string_view Reason) const;
 
+  // --- Requests through other VMs (NodeDetours.cpp)
+  // Serves a request that another VM could not bring to a server.
+  asio::awaitable<HttpResponse> serveDetour(HttpRequest Request);
+  // Whether the request may be passed to another VM.
+  bool mayDetour(const Exchange &Work) const;
+  // Passes the request to other VMs until one has taken it. Returns its
+  // response, or none if the request has reached no server and may be tried
+  // here.
+  asio::awaitable<std::optional<HttpResponse>> detour(ExchangePtr Work);
+  asio::awaitable<HttpResult> sendDetour(ExchangePtr Work, std::string Vm);
+  // Classifies what another VM returned. Sets Response if it is final.
+  DetourOutcome classifyDetour(Exchange &Work, HttpResult &Got,
+                               std::optional<HttpResponse> &Response);
+  std::vector<DetourVm> detourCandidates(const Exchange &Work) const;
+
   // --- Learned state of the region (NodeMemory.cpp)
   // Applies the pending restored state of known pools and servers.
   void applyPendingRestore();
@@ -354,7 +376,9 @@
   Reachability m_Reachability;
   HttpClient m_BackendClient;
   HttpClient m_PeerClient;
+  HttpClient m_DetourClient;
   HttpServer m_CallerServer;
+  HttpServer m_DetourServer;
   HttpServer m_ReadyServer;
   HttpServer m_LookupServer;
   HttpServer m_PeerServer;
@@ -369,6 +393,7 @@
   ConfigDocument m_ConfigDocument;
   Dispatcher m_Dispatcher;
   MemberTable m_Members;
+  DetourTable m_Detours;
   // Maps the IP address of each known VM to its failure domain.
   std::map<std::string, std::string> m_KnownVms;
   ListingTable m_List;
--- /dev/null
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -0,0 +1,194 @@
+// Requests that go through another VM, as this one cannot reach the servers.
+#include "Headers.h"
+#include "Node.h"
+
+#include "net/Clock.h"
+#include "net/Log.h"
+#include "net/Text.h"
+
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace rhubarb::node {
+namespace {
+
+// Says how many attempts at servers the VM that gets the request may make.
+constexpr const char *DetourHeader = "Rhubarb-Detour";
+constexpr int MaxDetourTries = 3; // VMs that are asked to take a request.
+constexpr Duration DetourRetryAfter = 100ms;
+// A VM that passes on a response needs some time after the server's deadline.
+constexpr Duration DetourSlack = 80ms;
+
+// Returns the kind of error that a VM refused a request with, or None if the
+// response is not its refusal of a request that has not run.
+ErrorKind refusalKind(const HttpResponse &Response) {
+  std::string_view Reason = Response.header("Rhubarb-Reason");
+  for (std::size_t I = 0; I < static_cast<std::size_t>(ErrorKind::Count); ++I) {
+    const ErrorInfo &Row = errorInfo(static_cast<ErrorKind>(I));
+    if (Row.m_Name == Reason && Row.m_Outcome == Outcome::NotRun &&
+        Row.m_HttpStatus == Response.m_Status)
+      return Row.m_Kind;
+  }
+  return ErrorKind::None;
+}
+
+// Whether another VM would refuse the request as well.
+bool holdsForAllVms(ErrorKind Kind) {
+  switch (Kind) {
+  case ErrorKind::QueueFull:
+  case ErrorKind::WaitTooLong:
+  case ErrorKind::DeadlinePassed:
+  case ErrorKind::BudgetSpent:
+  case ErrorKind::ServerRefused:
+  case ErrorKind::ServersRateLimited:
+  case ErrorKind::CrashesServers:
+  case ErrorKind::CallerGone:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
+asio::awaitable<HttpResponse> Node::serveDetour(HttpRequest Request) {
+  if (!m_KnownVms.contains(Request.m_PeerIp))
+    co_return errorResponse(ErrorKind::PeerNotAllowed);
+  std::int64_t Attempts = parseInteger(Request.header(DetourHeader), 0);
+  if (Attempts < 1)
+    co_return errorResponse(ErrorKind::BadRequest);
+  auto Work = std::make_shared<Exchange>();
+  std::erase_if(Request.m_Headers, [](const HeaderField &Field) {
+    return lower(Field.m_Name) == lower(DetourHeader);
+  });
+  Work->m_Request = std::move(Request);
+  Work->m_Detoured = true;
+  Work->m_MaxAttempts = static_cast<int>(
+      std::min<std::int64_t>(Attempts, std::numeric_limits<int>::max()));
+  m_Metrics.count("rhubarb_detours_taken_total");
+  co_return co_await serveExchange(std::move(Work));
+}
+
+bool Node::mayDetour(const Exchange &Work) const {
+  bool BodyIsSent = Work.m_Request.m_BodyStream && Work.m_TotalAttempts > 0;
+  return m_Settings.m_DetourPort != 0 && !Work.m_Detoured && !BodyIsSent &&
+         (!Work.m_MayHaveRun || Work.m_Idempotent) &&
+         Work.m_DeliveredAttempts < Work.m_MaxAttempts &&
+         !Work.m_RequestCancellation->cancelled() &&
+         now() < Work.m_Dispatch.m_Deadline &&
+         m_Detours.mayHelp(Work.m_Dispatch.m_Pool, now());
+}
+
+// The body of a request with allowed regions must not leave them.
+std::vector<DetourVm> Node::detourCandidates(const Exchange &Work) const {
+  const std::vector<std::string> &Allowed = Work.m_Dispatch.m_AllowedRegions;
+  std::vector<DetourVm> Found;
+  for (const MemberRow &Row : m_Members.rows()) {
+    std::string Region(regionOf(Row));
+    if (Row.m_State == MemberState::Live && !Row.m_Report.m_Leaving &&
+        Row.m_Report.m_EntryIncarnation != 0 &&
+        Row.m_Report.m_Vm != m_Settings.m_Ip &&
+        (Allowed.empty() ||
+         std::find(Allowed.begin(), Allowed.end(), Region) != Allowed.end()))
+      Found.push_back({Row.m_Report.m_Vm, Region});
+  }
+  return Found;
+}
+
+asio::awaitable<HttpResult> Node::sendDetour(ExchangePtr Work, std::string Vm) {
+  HttpRequest Request;
+  Request.m_Method = Work->m_Request.m_Method;
+  Request.m_Target = Work->m_Request.m_Target;
+  Request.m_Headers = endToEndHeaders(Work->m_Request.m_Headers);
+  std::erase_if(Request.m_Headers, [](const HeaderField &Field) {
+    return lower(Field.m_Name) == "expect"; // Answered by this VM.
+  });
+  std::int64_t LeftMs = (Work->m_ExecutionDeadline - now()) / 1ms;
+  setField(Request.m_Headers, m_HeaderNames.m_Deadline,
+           std::to_string(std::max<std::int64_t>(LeftMs, 1)));
+  setField(Request.m_Headers, DetourHeader,
+           std::to_string(Work->m_MaxAttempts - Work->m_DeliveredAttempts));
+  Request.m_Body = Work->m_Request.m_Body;
+  Request.m_BodyStream = Work->m_Request.m_BodyStream;
+  SendOptions Options;
+  Work->m_AttemptCancellation = std::make_shared<Cancellation>();
+  Options.m_Cancellation = Work->m_AttemptCancellation;
+  Work->m_RequestCancellation->onCancel(
+      [Token = Work->m_AttemptCancellation] { Token->cancel(); });
+  co_return co_await m_DetourClient.send(
+      Vm + ":" + std::to_string(m_Settings.m_DetourPort), std::move(Request),
+      Work->m_ExecutionDeadline + DetourSlack, std::move(Options));
+}
+
+DetourOutcome Node::classifyDetour(Exchange &Work, HttpResult &Got,
+                                   std::optional<HttpResponse> &Response) {
+  if (Got.m_Failure == HttpFailure::Connect)
+    return DetourOutcome::Declined;
+  if (Got.m_Failure != HttpFailure::None) {
+    Work.m_MayHaveRun = true;
+    ErrorKind Kind = ErrorKind::ServerCut;
+    if (Got.m_Failure == HttpFailure::Cancelled)
+      Kind = ErrorKind::CallerGone;
+    if (Got.m_Failure == HttpFailure::Timeout)
+      Kind = ErrorKind::ServerTimeout;
+    Response = makeRefusal(Work, Kind, DetourRetryAfter);
+    return DetourOutcome::Broken;
+  }
+  ErrorKind Refused = refusalKind(Got.m_Response);
+  if (Refused == ErrorKind::None || holdsForAllVms(Refused)) {
+    Response = std::move(Got.m_Response);
+    Response->m_Headers = endToEndHeaders(Response->m_Headers);
+    // A promise that the request has not run must hold for this VM's attempts.
+    if (Refused != ErrorKind::None && Work.m_MayHaveRun)
+      Response = makeRefusal(Work, Refused, DetourRetryAfter);
+    return DetourOutcome::Answered;
+  }
+  return Refused == ErrorKind::NoServerLeft ||
+                 Refused == ErrorKind::ServerUnreachable
+             ? DetourOutcome::CannotReach
+             : DetourOutcome::Declined;
+}
+
+asio::awaitable<std::optional<HttpResponse>> Node::detour(ExchangePtr Work) {
+  int Pool = Work->m_Dispatch.m_Pool;
+  for (int Try = 1; Try <= MaxDetourTries; ++Try) {
+    std::string Vm = m_Detours.choose(Pool, detourCandidates(*Work), now());
+    if (Vm.empty())
+      break;
+    Time SentAt = now();
+    HttpResult Got = co_await sendDetour(Work, Vm);
+    std::optional<HttpResponse> Response;
+    int Status = Got.m_Response.m_Status;
+    std::string Reason(Got.m_Response.header("Rhubarb-Reason"));
+    DetourOutcome Outcome = classifyDetour(*Work, Got, Response);
+    m_Detours.record(Pool, Vm, Outcome, now());
+    m_Metrics.count("rhubarb_detours_total",
+                    {{"outcome", std::string(detourOutcomeName(Outcome))}});
+    logEvent(Severity::Info, "request_detoured",
+             {{"id", Work->m_TraceId},
+              {"route", Work->m_Dispatch.m_RouteName},
+              {"to", Vm},
+              {"outcome", std::string(detourOutcomeName(Outcome))},
+              {"failure", std::string(httpFailureName(Got.m_Failure))},
+              {"status",
+               std::to_string(Got.m_Failure == HttpFailure::None ? Status : 0)},
+              {"reason", Reason},
+              {"ms", std::to_string((now() - SentAt) / 1ms)},
+              {"try", std::to_string(Try)}});
+    if (Response) {
+      if (Outcome == DetourOutcome::Answered)
+        logRequest(*Work, Response->m_Status, "detoured");
+      co_return Response;
+    }
+    if (Work->m_Request.m_BodyStream && Got.m_Failure != HttpFailure::Connect)
+      co_return makeRefusal(*Work, ErrorKind::NoServerLeft, DetourRetryAfter);
+    if (now() >= Work->m_Dispatch.m_Deadline)
+      break;
+  }
+  m_Detours.recordNone(Pool, now());
+  co_return std::nullopt;
+}
+
+} // namespace rhubarb::node
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -1,4 +1,5 @@
 // The request path from a caller to a backend server and back.
+#include "Headers.h"
 #include "Node.h"
 
 #include "net/Clock.h"
@@ -13,6 +14,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <limits>
 
 namespace rhubarb::node {
 namespace {
@@ -30,6 +32,9 @@
 // A retry may succeed on another server or a little later, but not at once.
 constexpr Duration AfterAttemptRetryAfter = 100ms;
 constexpr int MaxTotalAttempts = 4; // Failed connects count as attempts.
+// What cannot be served here is passed to another VM if this VM cannot reach
+// more than this share of the servers.
+constexpr double MinUnreachableShare = 0.5;
 // When to come back with a request that has crashed too many servers.
 constexpr Duration ConvictedRetryAfter = 60s;
 // A run of a suspected request shows its outcome within this time.
@@ -39,19 +44,6 @@
 constexpr std::size_t MaxUnknownHeaders = 16; // Names that are logged.
 constexpr std::size_t MaxLoggedValueBytes = 60;
 
-// Header fields that concern one connection only.
-constexpr std::array<std::string_view, 8> HopByHopHeaders{
-    "connection", "keep-alive", "proxy-connection",  "te",
-    "trailer",    "upgrade",    "transfer-encoding", "content-length"};
-
-std::string lower(std::string_view Text) {
-  std::string Lowered(Text);
-  for (char &C : Lowered)
-    if (C >= 'A' && C <= 'Z')
-      C = static_cast<char>(C + ('a' - 'A'));
-  return Lowered;
-}
-
 bool equalsIgnoringCase(std::string_view A, std::string_view B) {
   auto Lower = [](char C) {
     return C >= 'A' && C <= 'Z' ? static_cast<char>(C + ('a' - 'A')) : C;
@@ -60,39 +52,6 @@
                     [&](char X, char Y) { return Lower(X) == Lower(Y); });
 }
 
-// Copies the end-to-end header fields: no hop-by-hop fields and none that a
-// Connection field names.
-std::vector<HeaderField>
-endToEndHeaders(const std::vector<HeaderField> &Fields) {
-  std::vector<std::string> Named;
-  for (const HeaderField &Field : Fields)
-    if (lower(Field.m_Name) == "connection")
-      for (const std::string &Word : splitCommas(lower(Field.m_Value)))
-        Named.push_back(
-            Word.substr(Word.find_first_not_of(' ') == std::string::npos
-                            ? 0
-                            : Word.find_first_not_of(' ')));
-  std::vector<HeaderField> Kept;
-  for (const HeaderField &Field : Fields) {
-    std::string Name = lower(Field.m_Name);
-    bool Hop = std::find(HopByHopHeaders.begin(), HopByHopHeaders.end(),
-                         Name) != HopByHopHeaders.end() ||
-               std::find(Named.begin(), Named.end(), Name) != Named.end();
-    if (!Hop)
-      Kept.push_back(Field);
-  }
-  return Kept;
-}
-
-void setField(std::vector<HeaderField> &Fields, const std::string &Name,
-              std::string Value) {
-  std::string Wanted = lower(Name);
-  std::erase_if(Fields, [&](const HeaderField &Field) {
-    return lower(Field.m_Name) == Wanted;
-  });
-  Fields.push_back({Name, std::move(Value)});
-}
-
 // Returns the value of a cookie, or an empty string.
 std::string_view cookie(const HttpRequest &Request, std::string_view Name) {
   std::string_view Rest = Request.header("Cookie");
@@ -161,12 +120,17 @@
 
 asio::awaitable<HttpResponse> Node::serveRequest(HttpRequest Request) {
   auto Work = std::make_shared<Exchange>();
+  Work->m_Request = std::move(Request);
+  Work->m_MaxAttempts = std::numeric_limits<int>::max();
+  return serveExchange(std::move(Work));
+}
+
+asio::awaitable<HttpResponse> Node::serveExchange(ExchangePtr Work) {
   DispatchRequest &Item = Work->m_Dispatch;
   Item.m_Id = m_NextRequest++;
   Item.m_ArrivedAt = now();
-  Work->m_TraceId = Request.header(m_HeaderNames.m_RequestId);
+  Work->m_TraceId = Work->m_Request.header(m_HeaderNames.m_RequestId);
   Work->m_ConfigRevision = revision();
-  Work->m_Request = std::move(Request);
   Work->m_Fingerprint = fingerprint(Work->m_Request);
   if (Work->m_Request.m_Client->m_Closed)
     co_return makeRefusal(*Work, ErrorKind::CallerGone, Duration{0});
@@ -200,7 +164,7 @@
   Item.m_Priority = Matched->m_Priority;
   Item.m_AllowedRegions = Matched->m_AllowedRegions;
   Work->m_Idempotent = Matched->m_Idempotent;
-  Work->m_MaxAttempts = Matched->m_MaxAttempts;
+  Work->m_MaxAttempts = std::min(Work->m_MaxAttempts, Matched->m_MaxAttempts);
   if (Matched->m_Affinity) {
     std::string_view Object =
         cookie(Work->m_Request, m_HeaderNames.m_AffinityCookie);
@@ -209,7 +173,12 @@
   }
   Item.m_Pool =
       Matched->m_Targets[m_Splitter.choose(*Matched, Item.m_ObjectHash)].m_Pool;
-  retryBudget(Item.m_Pool).recordFirstAttempt(Item.m_ArrivedAt);
+  // A request that was passed on has been recorded by the VM that it came from.
+  if (!Work->m_Detoured)
+    retryBudget(Item.m_Pool).recordFirstAttempt(Item.m_ArrivedAt);
+  else if (m_Dispatcher.fleet().isCutOff(Item.m_Pool))
+    co_return makeRefusal(*Work, ErrorKind::NoServerLeft,
+                          AfterAttemptRetryAfter);
 
   Work->m_RequestCancellation = std::make_shared<Cancellation>();
   std::shared_ptr<ClientConnection> Watch = Work->m_Request.m_Client;
@@ -238,9 +207,18 @@
       co_return std::move(*Refusal);
     if (m_Suspects.crashes(Work->m_Fingerprint) > 0)
       excludeServersOfSuspects(*Work);
+    int Pool = Work->m_Dispatch.m_Pool;
+    if (m_Dispatcher.fleet().isCutOff(Pool) && mayDetour(*Work))
+      if (std::optional<HttpResponse> Response = co_await detour(Work))
+        co_return std::move(*Response);
     co_await dispatch(Work);
     if (Work->m_Decision.m_Action == DispatchAction::Refuse) {
       ErrorKind Kind = Work->m_Decision.m_Error;
+      if (errorInfo(Kind).m_Outcome == Outcome::NotRun && mayDetour(*Work) &&
+          m_Dispatcher.fleet().unreachableShare(Pool, now()) >
+              MinUnreachableShare)
+        if (std::optional<HttpResponse> Response = co_await detour(Work))
+          co_return std::move(*Response);
       if (Last && Last->m_FallbackResponse)
         co_return std::move(*Last->m_FallbackResponse);
       if (Work->m_MayHaveRun && errorInfo(Kind).m_Outcome == Outcome::NotRun)
@@ -257,6 +235,9 @@
     std::string_view Stop = reasonNotToRetry(*Work, Attempt);
     logAttempt(*Work, Attempt, Stop);
     if (!Stop.empty()) {
+      if (Attempt.m_Error == ErrorKind::ServerUnreachable && mayDetour(*Work))
+        if (std::optional<HttpResponse> Response = co_await detour(Work))
+          co_return std::move(*Response);
       if (Attempt.m_FallbackResponse) {
         logRequest(*Work, Attempt.m_FallbackResponse->m_Status,
                    "server_failed");
