Take no request late in a planned stop that would outlast it

What callers saw (reported by another operator, and shown here): requests that came late in the grace of a planned stop were taken and passed on, and cut at its end without an answer, among them requests that must not be repeated.

Change: a stopping VM refuses at once (leaving, not run) what cannot be expected to end before its process does: half as long again as the route's estimated run time. Deadlines of queued requests and of new ones end with the process, so the queue refuses in time, and no retry begins that would be cut.

Ruled out: a longer stop (the grace is the operator's); an answer of our own at the end, as the request may be running.

Open: what runs already when SIGTERM comes and outlasts the grace is still cut.

--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -135,6 +135,12 @@
   // Sends or refuses queued requests. Call after each finished() and at a
   // regular interval.
   std::vector<QueueDecision> processQueue(Time Now);
+  // Whether a request that is sent now can be expected to end by a time. Run
+  // times vary, so one that barely would does not count.
+  bool endsBy(const DispatchRequest &Request, Time End, Time Now) const;
+  // Moves the deadlines of queued requests to a time at the latest, so that
+  // those that would not end by then are refused.
+  void limitQueuedDeadlines(Time Latest);
   // Removes a queued request whose caller has disconnected.
   bool cancel(RequestId Id);
   // Records that a request was sent as decided.
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -12,6 +12,8 @@
 constexpr double HashSpan = 18446744073709551616.0;
 // Share by which one measurement changes a service time estimate.
 constexpr double ServiceTimeStep = 0.04;
+// Run times of a route lie within this multiple of their estimate, mostly.
+constexpr double RunTimeMargin = 1.5;
 // Relative increase of a server's cost per position in the rendezvous order.
 constexpr double PositionPenalty = 0.01;
 // Cost added to a cold run, as a multiple of the warm service time.
@@ -653,6 +655,20 @@
   return Decisions;
 }
 
+bool Dispatcher::endsBy(const DispatchRequest &Request, Time End,
+                        Time Now) const {
+  Duration Objective = Request.m_ObjectiveAt - Request.m_ArrivedAt;
+  double Longest = std::max(
+      toMicros(m_Times.expected(Request.m_RouteName, Objective, true)),
+      toMicros(m_Times.expected(Request.m_RouteName, Objective, false)));
+  return Now + fromMicros(Longest * RunTimeMargin) <= End;
+}
+
+void Dispatcher::limitQueuedDeadlines(Time Latest) {
+  for (DispatchRequest &Request : m_Queue)
+    Request.m_Deadline = std::min(Request.m_Deadline, Latest);
+}
+
 bool Dispatcher::cancel(RequestId Id) {
   return std::erase_if(m_Queue, [&](const DispatchRequest &Queued) {
            if (Queued.m_Id != Id)
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -184,6 +184,7 @@
     Disturb(Index, RestartTime);
   } else if (Name == "node_term") {
     m_Nodes.signal(Index, SIGTERM);
+    m_Site.addPlannedStop(Index);
     Disturb(Index, GracePeriod + RestartTime);
   } else if (Name == "node_hup") {
     m_Nodes.signal(Index, SIGHUP);
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -22,7 +22,7 @@
     "  rhubarb-soak --node=FILE [--seed=N] [--seconds=N] [--faults=NAMES]\n"
     "               [--nodes=N] [--rate=N] [--net=NET] [--dir=DIR]\n"
     "               [--served=PERCENT] [--refused=PERCENT]\n"
-    "               [--limit-use=PERCENT]\n"
+    "               [--limit-use=PERCENT] [--long-rate=N]\n"
     "  rhubarb-soak --list\n"
     "  rhubarb-soak (-h | --help)\n\n"
     "Options:\n"
@@ -43,6 +43,8 @@
     "  --refused=PERCENT Maximum share of calls refused [default: 100].\n"
     "  --limit-use=PERCENT  Minimum share of the rates that servers name\n"
     "                    [default: 0].\n"
+    "  --long-rate=N     The same as --rate for calls that run for seconds\n"
+    "                    [default: 0].\n"
     "  --list            List the faults.\n"
     "  -h --help         Show this text.\n\n"
     "Exit codes: 0 all guarantees held, 1 a guarantee was violated,\n"
@@ -128,6 +130,8 @@
       static_cast<int>(parseInteger(Arguments.value("--nodes"), 1));
   Settings.m_CallsPerSecond =
       static_cast<double>(parseInteger(Arguments.value("--rate"), 15));
+  Settings.m_LongCallsPerSecond =
+      static_cast<double>(parseInteger(Arguments.value("--long-rate"), 0));
   asio::io_context Io{1};
   site::Site Deployment(Io, Settings);
   Result<int> Started = Deployment.start();
--- a/standins/site/Callers.cpp
+++ b/standins/site/Callers.cpp
@@ -151,8 +151,9 @@
   bool Answered = CallResult.m_Failure == HttpFailure::None &&
                   CallResult.m_Response.m_Status == 200;
   if (IsFirst && !Abandons && Class.m_CallsPerSecond > 0)
-    m_FirstTries.push_back(
-        {Address.substr(0, Address.rfind(':')), SentAt, Answered});
+    m_FirstTries.push_back({Address.substr(0, Address.rfind(':')), SentAt,
+                            Answered,
+                            CallResult.m_Failure == HttpFailure::Incomplete});
   NoRetry = Answered || Abandons ||
             (!Class.m_Idempotent && !GuaranteedNotRun &&
              CallResult.m_Failure != HttpFailure::Connect);
--- a/standins/site/Callers.h
+++ b/standins/site/Callers.h
@@ -49,6 +49,8 @@
   std::string m_VmIp;
   Time m_SentAt{0};
   bool m_Served = false;
+  // The connection ended without a whole response to a request that was sent.
+  bool m_Broken = false;
 };
 
 // Sends calls and checks the responses.
--- a/standins/site/Servers.cpp
+++ b/standins/site/Servers.cpp
@@ -239,14 +239,15 @@
   auto Warm = std::find(m_WarmObjects.begin(), m_WarmObjects.end(), Object);
   double Factor =
       m_Faults.m_ServiceTimeFactor * (0.8 + 0.4 * m_Random.uniform());
-  if (Warm != m_WarmObjects.end())
+  bool IsLong = Request.m_Target.find(LongTarget) != std::string::npos;
+  Duration ServiceTime =
+      IsLong ? m_Profile.m_LongServiceTime : m_Profile.m_ServiceTime;
+  if (Warm != m_WarmObjects.end() && !IsLong)
     Factor *= m_Profile.m_WarmFactor;
   if (now() < m_StartedAt + m_Profile.m_ColdDuration)
     Factor *= ColdFactor;
-  Time End =
-      now() +
-      Duration(static_cast<std::int64_t>(
-          static_cast<double>(m_Profile.m_ServiceTime.count()) * Factor));
+  Time End = now() + Duration(static_cast<std::int64_t>(
+                         static_cast<double>(ServiceTime.count()) * Factor));
   while (now() < End && now() < Deadline && !Request.m_Client->m_Closed)
     co_await sleepFor(std::min<Duration>(End - now(), QueuePollInterval));
   m_WarmObjects.remove(Object);
--- a/standins/site/Servers.h
+++ b/standins/site/Servers.h
@@ -50,6 +50,8 @@
   int m_Slots = 4;
   // Service time of a request for an object that is not warm.
   Duration m_ServiceTime = 40ms;
+  // Service time of a request whose target contains LongTarget.
+  Duration m_LongServiceTime = 4s;
   // Factor on the service time if the object is warm.
   double m_WarmFactor = 0.3;
   Duration m_ColdDuration = 1s;
@@ -163,6 +165,7 @@
 
 // Requests whose target contains this crash the server that runs them.
 inline constexpr std::string_view DeadlyTarget = "/deadly";
+inline constexpr std::string_view LongTarget = "/long/";
 // Returns the response body that every server sends for a request ID.
 std::string expectedBody(const std::string &RequestId);
 // Returns the value of the stamp header, which shows that a server produced the
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -25,6 +25,8 @@
 // A draining server goes on serving for this time.
 constexpr Duration DrainDuration = 3500ms;
 constexpr Duration LongDrainDuration = 10s;
+// Equals bounds.grace in nodeSettings().
+constexpr Duration GracePeriod = 6s;
 constexpr const char *FillerKey = "other/filler";
 
 std::string storeIp(const SiteSettings &Settings) {
@@ -67,6 +69,9 @@
   Callers.m_Classes = {{"/read/", "GET", true, Rate, 3s, 20, 0},
                        {"/pay/", "POST", false, Rate, 3s, 20, 300},
                        {"/book/", "PUT", false, Rate, 2s, 20, 4000}};
+  if (m_Settings.m_LongCallsPerSecond > 0)
+    Callers.m_Classes.push_back({std::string(LongTarget), "POST", false,
+                                 m_Settings.m_LongCallsPerSecond, 8s, 20, 0});
   m_Callers = std::make_unique<SiteCallers>(Io, m_Records, std::move(Callers),
                                             m_Settings.m_Seed + 1);
 }
@@ -154,6 +159,11 @@
   Entry["paths"].append(makeRoute("pay", "/pay/", false, 2, Services[0]));
   Entry["paths"].append(
       makeRoute("book", "/book/", false, 0, Services[m_RouteMoved ? 0 : 1]));
+  Json::Value Long =
+      makeRoute("long", LongTarget.data(), false, 2, Services[0]);
+  Long["timeout"] = "8000ms";
+  Long["target_latency"] = "6000ms";
+  Entry["paths"].append(Long);
   Json["virtual_hosts"].append(Entry);
   return compactJson(Json);
 }
@@ -469,8 +479,31 @@
   }
 }
 
+void Site::addPlannedStop(std::size_t Node) {
+  std::string Ip = nodeIp(static_cast<int>(Node));
+  auto [First, Last] = m_PlannedStops.equal_range(Ip);
+  // The process may be stopping already.
+  if (std::all_of(First, Last, [](const auto &Stop) {
+        return now() - Stop.second > GracePeriod;
+      }))
+    m_PlannedStops.emplace(Ip, now());
+}
+
+// A node that was told to stop and takes a request must answer it.
+void Site::verifyPlannedStops(std::vector<std::string> &Violations) const {
+  for (const auto &[Ip, At] : m_PlannedStops)
+    for (const FirstTry &Try : m_Callers->firstTries())
+      if (Try.m_VmIp == Ip && Try.m_Broken && Try.m_SentAt > At &&
+          Try.m_SentAt < At + GracePeriod)
+        Violations.push_back("lost: a request sent " +
+                             std::to_string((Try.m_SentAt - At) / 1ms) +
+                             " ms after its node was told to stop was read and "
+                             "got no answer");
+}
+
 std::vector<std::string> Site::verify() const {
   std::vector<std::string> Violations = m_Callers->verify();
+  verifyPlannedStops(Violations);
   verifyCuts(Violations);
   verifyDeadlyCalls(Violations);
   verifyRateLimits(Violations);
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -22,6 +22,8 @@
   int m_ServersPerDomain = 2;
   // Mean rate of each class of calls from each failure domain.
   double m_CallsPerSecond = 15;
+  // The same for calls that run for some seconds; they must not be repeated.
+  double m_LongCallsPerSecond = 0;
   std::uint64_t m_Seed = 1;
 };
 
@@ -94,6 +96,8 @@
     m_NodeDisturbances.emplace(nodeIp(static_cast<int>(Node)),
                                std::pair(From, Until + StableWindow));
   }
+  // Records that a node was told to stop.
+  void addPlannedStop(std::size_t Node);
   // Requires each server to get at least this share of the rate that it names.
   void setMinLimitUse(double Share) { m_MinLimitUse = Share; }
   // Expires leases, stops replaced servers once their time is over and renews
@@ -112,6 +116,7 @@
   void verifyRateLimits(std::vector<std::string> &Violations) const;
   void verifyConfig(std::vector<std::string> &Violations) const;
   void verifyEvacuations(std::vector<std::string> &Violations) const;
+  void verifyPlannedStops(std::vector<std::string> &Violations) const;
   void verifyCuts(std::vector<std::string> &Violations) const;
   void verifyDeadlyCalls(std::vector<std::string> &Violations) const;
   asio::awaitable<void> crashForAWhile(std::size_t Index);
@@ -128,6 +133,7 @@
   std::vector<std::pair<Time, Time>> m_Disturbances;
   // Keyed by the node's IP address.
   std::multimap<std::string, std::pair<Time, Time>> m_NodeDisturbances;
+  std::multimap<std::string, Time> m_PlannedStops;
   double m_MinLimitUse = 0;
   // Time at which a replaced server stops, by server index; 0 if it is not
   // being replaced.
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -627,6 +627,34 @@
     }
   }
 
+  TEST_CASE("a process that stops knows which requests would outlast it") {
+    struct Row {
+      Duration m_RunTime;
+      Duration m_TimeLeft;
+      bool m_EndsBy;
+    };
+    const Row Rows[] = {
+        {500ms, 5700ms, true},  {500ms, 700ms, false}, {2s, 3300ms, true},
+        {2s, 2500ms, false},    {4s, 5700ms, false},   {8s, 9700ms, false},
+        {1500ms, 2500ms, true}, {6s, 9700ms, true},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_RunTime.count());
+      CAPTURE(Case.m_TimeLeft.count());
+      Dispatcher Tested("r1");
+      Tested.fleet().update({server("a", "r1")}, 1s);
+      DispatchRequest Request = requestFor(1, 7, 10s);
+      DispatchDecision Decision = Tested.submit(Request, 10s);
+      Tested.started(Decision, 10s);
+      AttemptReport Report;
+      Report.m_ResponseTime = Case.m_RunTime;
+      Report.m_HasLoad = true;
+      Tested.finished(Request, Decision, Report, 10s, 10s + Case.m_RunTime);
+      CHECK(Tested.endsBy(Request, 30s + Case.m_TimeLeft, 30s) ==
+            Case.m_EndsBy);
+    }
+  }
+
   TEST_CASE("requests that wait for a rate limit go by priority, at its rate") {
     Dispatcher Tested("r1");
     Tested.fleet().update({server("a", "r1")}, 1s);
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -198,16 +198,21 @@
   return 0;
 }
 
+Time Node::stopTime() const {
+  constexpr Duration Reserve = 300ms; // Leaves time to exit before SIGKILL.
+  return m_LeavingSince + m_Settings.m_GracePeriod - Reserve;
+}
+
 asio::awaitable<void> Node::stop() {
   // Callers cache look-up answers for up to three times their TTL.
   constexpr Duration AcceptDuration = 3800ms;
-  constexpr Duration Reserve = 300ms; // Leaves time to exit before SIGKILL.
   m_Leaving = true;
   m_LeavingSince = now();
+  m_Dispatcher.limitQueuedDeadlines(stopTime());
   m_CallerServer.disableKeepAlive();
   m_DetourServer.disableKeepAlive();
   sendHeartbeats();
-  Time End = m_LeavingSince + m_Settings.m_GracePeriod - Reserve;
+  Time End = stopTime();
   Time Close = m_LeavingSince +
                std::min<Duration>(AcceptDuration, m_Settings.m_GracePeriod / 2);
   while (now() < Close)
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -296,6 +296,8 @@
   void applyPendingRestore();
 
   // --- Periodic work and health (Node.cpp)
+  // Returns when a process that is shutting down ends.
+  Time stopTime() const;
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> healthCheckLoop();
   // Returns whether the server refused the connection: no process listens.
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -163,6 +163,12 @@
   Item.m_RouteName = Matched->m_Name;
   Item.m_Priority = Matched->m_Priority;
   Item.m_AllowedRegions = Matched->m_AllowedRegions;
+  if (m_Leaving) {
+    // Another VM can answer what would still be running at the end.
+    if (!m_Dispatcher.endsBy(Item, stopTime(), Item.m_ArrivedAt))
+      co_return makeRefusal(*Work, ErrorKind::Leaving, LeavingRetryAfter);
+    Item.m_Deadline = std::min(Item.m_Deadline, stopTime());
+  }
   Work->m_Idempotent = Matched->m_Idempotent;
   Work->m_MaxAttempts = std::min(Work->m_MaxAttempts, Matched->m_MaxAttempts);
   if (Matched->m_Affinity) {
@@ -629,6 +635,8 @@
     return "attempts_used";
   if (now() >= Work.m_Dispatch.m_Deadline)
     return "no_time_left";
+  if (m_Leaving && !m_Dispatcher.endsBy(Work.m_Dispatch, stopTime(), now()))
+    return "leaving";
   bool Arrived = Attempt.m_Report.m_Outcome != AttemptOutcome::Unreachable;
   if (Arrived && !retryBudget(Work.m_Dispatch.m_Pool).tryTakeRetry()) {
     m_Metrics.countRefusal(ErrorKind::BudgetSpent, Work.m_Dispatch.m_RouteName);
