Pause detours that find the servers overloaded

Change: such a refusal pauses detours to the pool for half a second, unless this VM is cut off from all of its servers.

--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -178,6 +178,10 @@
               {"ms", std::to_string((now() - SentAt) / 1ms)},
               {"try", std::to_string(Try)}});
     if (Response) {
+      // Servers that no VM reaches leave the others overloaded.
+      if (holdsForAllVms(refusalKind(*Response)) &&
+          !m_Dispatcher.fleet().isCutOff(Pool))
+        m_Detours.recordNone(Pool, now());
       if (Outcome == DetourOutcome::Answered)
         logRequest(*Work, Response->m_Status, "detoured");
       co_return Response;
