Count a request that was passed on once, where its caller sent it

Cause: found in review. Change: its lines are detour_served and detour_failed, which carry the same id (logs explain shows all three), detour_sent the step before; only the caller's VM measures the time.

--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -145,6 +145,8 @@
     AddLine(4, "event=request_failed id=d status=504 reason=server_timeout");
     AddLine(4, "event=attempt_failed id=d end=silent");
     AddLine(5, "event=store_lost call=watch");
+    // The VM that passed the request on counts it.
+    AddLine(4, "event=detour_served id=e ms=900");
     auto Lines = readLogLines(LogText, "node");
     auto Windows = groupByWindow(Lines, 2000);
     REQUIRE(Windows.size() == 2);
--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -166,7 +166,7 @@
     m_Detours.record(Pool, Vm, Outcome, now());
     m_Metrics.count("rhubarb_detours_total",
                     {{"outcome", std::string(detourOutcomeName(Outcome))}});
-    logEvent(Severity::Info, "request_detoured",
+    logEvent(Severity::Info, "detour_sent",
              {{"id", Work->m_TraceId},
               {"route", Work->m_Dispatch.m_RouteName},
               {"to", Vm},
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -703,8 +703,11 @@
                       std::string_view Reason) const {
   const DispatchRequest &Item = Work.m_Dispatch;
   Duration Took = now() - Item.m_ArrivedAt;
-  m_Metrics.observe("rhubarb_request_seconds",
-                    {{"rank", std::to_string(Item.m_Priority)}}, Took);
+  // The VM that took the request from its caller counts it.
+  std::string Prefix = Work.m_Detoured ? "detour_" : "request_";
+  if (!Work.m_Detoured)
+    m_Metrics.observe("rhubarb_request_seconds",
+                      {{"rank", std::to_string(Item.m_Priority)}}, Took);
   std::string ListAge = m_List.knownAt().count() == 0
                             ? std::string("never_known")
                             : millisText(now() - m_List.knownAt());
@@ -716,7 +719,7 @@
         Placed.m_BestServer == NoServer
             ? std::string()
             : m_Dispatcher.fleet().row(Placed.m_BestServer).m_Info.m_Id;
-    logEvent(Severity::Info, "request_failed",
+    logEvent(Severity::Info, Prefix + "failed",
              {{"id", Work.m_TraceId},
               {"route", Item.m_RouteName},
               {"rank", std::to_string(Item.m_Priority)},
@@ -737,7 +740,7 @@
     return;
   }
   logEvent(
-      Severity::Info, Status < 500 ? "request_served" : "request_failed",
+      Severity::Info, Prefix + (Status < 500 ? "served" : "failed"),
       {{"id", Work.m_TraceId},
        {"route", Item.m_RouteName},
        {"rank", std::to_string(Item.m_Priority)},
