--- a/include/rhubarb/rhubarb.h
+++ b/include/rhubarb/rhubarb.h
@@ -27,7 +27,9 @@
 //     SteeringTable::step() and orderEntries() in Lookup.h.
 // 10. Stop requests that crash servers: CrashSuspects::decide(), recordCrash()
 //     and recordRun() in Suspects.h.
-// 11. Report errors: errorInfo() in Errors.h maps each error kind to its
+// 11. Use another VM where this one cannot reach the servers:
+//     DetourTable::choose() in Detours.h and Fleet::isCutOff() in Fleet.h.
+// 12. Report errors: errorInfo() in Errors.h maps each error kind to its
 //     response.
 //
 // Call every tick() at a regular interval (10 to 100 ms) with a time that never
@@ -35,6 +37,7 @@
 #pragma once
 
 #include "rhubarb/Config.h"   // The operators' configuration.
+#include "rhubarb/Detours.h"  // Requests through other VMs.
 #include "rhubarb/Errors.h"   // Error kinds; Result<T>.
 #include "rhubarb/Grants.h"   // Sending to other entry processes.
 #include "rhubarb/Keys.h"     // Idempotency keys, stored responses.
