Blame no VM for a caller that leaves during a detour

A caller that closes its connection while its request is at another VM counted as a broken detour, so that a healthy VM got no requests for a second. Change: a cancelled detour says nothing about the VM.

--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -163,7 +163,9 @@
     int Status = Got.m_Response.m_Status;
     std::string Reason(Got.m_Response.header("Rhubarb-Reason"));
     DetourOutcome Outcome = classifyDetour(*Work, Got, Response);
-    m_Detours.record(Pool, Vm, Outcome, now());
+    // A caller that leaves says nothing about the VM.
+    if (Got.m_Failure != HttpFailure::Cancelled)
+      m_Detours.record(Pool, Vm, Outcome, now());
     m_Metrics.count("rhubarb_detours_total",
                     {{"outcome", std::string(detourOutcomeName(Outcome))}});
     logEvent(Severity::Info, "detour_sent",
