Take no cut of a VM's links for crashes of its servers

Cause: a cut connection to a server that then refuses connections counted as a crash. A VM whose links are reset sees just that at every server, and convicted what was in flight; it told all other VMs.

Change: 0.2 s after such a crash seems to have happened, it counts only if the VM does not seem to be cut off from the pool by then. In the emulation, a new connection that is refused while open ones live is reset once a request was read, as the kernel's refusal of a connection cannot follow a request.

Open: one or two crashes may be counted at the start of a cut if less than three servers were in use; runs that servers survive clear them.

--- a/standins/site/Proxy.cpp
+++ b/standins/site/Proxy.cpp
@@ -67,6 +67,10 @@
   auto Caller = Proxied->m_Caller.remote_endpoint(Ignored);
   Proxied->m_CallerIp = Caller.address().to_string();
   LinkCut Cut = cutOf(Proxied->m_CallerIp);
+  // The caller must not take the refusal for that of a host without a server
+  // once it has sent a request.
+  if (Cut == LinkCut::RefuseNew)
+    co_await Proxied->m_Caller.async_wait(tcp::socket::wait_read, Await);
   if (Cut == LinkCut::Reset || Cut == LinkCut::RefuseNew) {
     close(*Proxied);
     co_return;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -41,6 +41,9 @@
 constexpr Duration SuspectRetryAfter = 300ms;
 // Connections that one crash cuts end within this time.
 constexpr Duration CutGatherTime = 20ms;
+// If all servers seem to have crashed, this VM is cut off from them; enough of
+// them are found unresponsive within this time.
+constexpr Duration CutOffGatherTime = 200ms;
 constexpr std::size_t MaxUnknownHeaders = 16; // Names that are logged.
 constexpr std::size_t MaxLoggedValueBytes = 60;
 
@@ -317,7 +320,11 @@
            Row.m_Incarnation == m_CutConnections[Index].m_Incarnation;
   };
   bool Crashed = IsSameServer() && co_await checkHealth(Index);
-  Crashed = Crashed && IsSameServer();
+  if (Crashed)
+    co_await sleepFor(CutOffGatherTime);
+  Crashed = Crashed && IsSameServer() &&
+            !m_Dispatcher.fleet().isCutOff(
+                m_Dispatcher.fleet().row(Index).m_Info.m_Pool);
   CutConnections Cut = std::move(m_CutConnections[Index]);
   m_CutConnections.erase(Index);
   if (Crashed) {
