Space the ranks of small fleets more closely

The last of three ranks waited for nearly a full bucket, which then had no room to save up. Change: fleets of fewer than 61 VMs space their ranks as one of 61 does.

--- a/lib/RateLimit.cpp
+++ b/lib/RateLimit.cpp
@@ -20,6 +20,9 @@
 // Share of a full bucket, above the minimum of a priority class, that the VM of
 // the last rank waits for.
 constexpr double MaxRankTokenShare = 0.9;
+// Fleets with fewer VMs space their ranks as if this was the last one: few VMs
+// exceed a rate little, and use less of it the longer they wait.
+constexpr std::size_t MinRankSpan = 60;
 // The same for servers that get health checks only.
 constexpr double MaxTrialDebt = 1;
 // Tokens by which each lower rank waits longer before its health check, so that
@@ -120,8 +123,9 @@
   double Min = MinTokens[PriorityClass];
   if (m_Rank == 0)
     return Min;
+  std::size_t LastRank = std::max({m_Rank, m_Peers, MinRankSpan});
   double Share = std::log1p(static_cast<double>(m_Rank)) /
-                 std::log1p(static_cast<double>(std::max(m_Rank, m_Peers)));
+                 std::log1p(static_cast<double>(LastRank));
   return Min + (maxTokens() - Min) * MaxRankTokenShare * Share;
 }
 
