Wait for the signs of a cut only if several servers are unresponsive

Change: a crash counts at once unless another server of the pool is unresponsive too; then it waits as before.

--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -329,6 +329,9 @@
   bool isCold(const BackendState &Row, Time Now) const {
     return Now < Row.m_ColdUntil;
   }
+  // Returns how many servers of a pool gave no response since the last response
+  // of any of them.
+  std::size_t unresponsiveServers(int Pool) const;
   // Whether this VM seems to be cut off from all servers of a pool: several of
   // them in a row gave no response, and no other one has.
   bool isCutOff(int Pool) const;
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -504,15 +504,19 @@
   m_Unresponsive[row(Index).m_Info.m_Pool].insert(Index);
 }
 
-bool Fleet::isCutOff(int Pool) const {
+std::size_t Fleet::unresponsiveServers(int Pool) const {
   auto Unresponsive = m_Unresponsive.find(Pool);
   if (Unresponsive == m_Unresponsive.end())
-    return false;
-  auto Listed = static_cast<std::size_t>(
+    return 0;
+  return static_cast<std::size_t>(
       std::count_if(Unresponsive->second.begin(), Unresponsive->second.end(),
                     [&](ServerIndex Index) { return row(Index).m_Listed; }));
-  return Listed > 0 &&
-         Listed >= std::min(MinUnresponsive, serversInPool(Pool).size());
+}
+
+bool Fleet::isCutOff(int Pool) const {
+  std::size_t Unresponsive = unresponsiveServers(Pool);
+  return Unresponsive > 0 &&
+         Unresponsive >= std::min(MinUnresponsive, serversInPool(Pool).size());
 }
 
 double Fleet::unreachableShare(int Pool, Time Now) const {
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -320,11 +320,11 @@
            Row.m_Incarnation == m_CutConnections[Index].m_Incarnation;
   };
   bool Crashed = IsSameServer() && co_await checkHealth(Index);
-  if (Crashed)
+  const Fleet &Servers = m_Dispatcher.fleet();
+  int Pool = Servers.row(Index).m_Info.m_Pool;
+  if (Crashed && Servers.unresponsiveServers(Pool) > 1)
     co_await sleepFor(CutOffGatherTime);
-  Crashed = Crashed && IsSameServer() &&
-            !m_Dispatcher.fleet().isCutOff(
-                m_Dispatcher.fleet().row(Index).m_Info.m_Pool);
+  Crashed = Crashed && IsSameServer() && !Servers.isCutOff(Pool);
   CutConnections Cut = std::move(m_CutConnections[Index]);
   m_CutConnections.erase(Index);
   if (Crashed) {
