--- a/review/standin/Cases.cpp
+++ b/review/standin/Cases.cpp
@@ -5,6 +5,8 @@
 int runCase(const std::string &Name, Deployment &Site, bool WithTrouble) {
   if (Name == "early-answer")
     return earlyAnswer(Site, WithTrouble);
+  if (Name == "long-answer")
+    return longAnswer(Site, WithTrouble);
   return 2;
 }
 
--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -9,5 +9,6 @@
 int runCase(const std::string &Name, Deployment &Site, bool WithTrouble);
 
 int earlyAnswer(Deployment &Site, bool WithTrouble);
+int longAnswer(Deployment &Site, bool WithTrouble);
 
 } // namespace review
