--- a/review/standin/Cases.cpp
+++ b/review/standin/Cases.cpp
@@ -7,6 +7,8 @@
     return earlyAnswer(Site, WithTrouble);
   if (Name == "long-answer")
     return longAnswer(Site, WithTrouble);
+  if (Name == "planned-stop")
+    return plannedStop(Site, WithTrouble);
   return 2;
 }
 
--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -10,5 +10,6 @@
 
 int earlyAnswer(Deployment &Site, bool WithTrouble);
 int longAnswer(Deployment &Site, bool WithTrouble);
+int plannedStop(Deployment &Site, bool WithTrouble);
 
 } // namespace review
