End what is kept of evacuations at a position of its own

Cause: after a restore a reader holds back an evacuation that may be a leftover of the copy, and announced it later at the position of the read that held it back. Other VMs take higher positions only. Ruled out: lost announcements (they are repeated, and the VMs missed all until the take-back). A whole read is a change at its own position. Keeping begins with the first own read after a restore and ends 3 s after the VM first heard of the era.

--- a/include/rhubarb/Evacuations.h
+++ b/include/rhubarb/Evacuations.h
@@ -13,20 +13,33 @@
 
 namespace rhubarb {
 
-// Evacuated failure domains and what is kept from before a restore.
+// Evacuated failure domains and what is kept from before a restore. Other VMs
+// take over only what has a higher position than all that they have been told,
+// so each change of the domains raises lastChange().
 class EvacuationTable {
 public:
   // Applies all evacuations of a whole read at Position, with the position of
   // each. Known are those in force on this VM, which knows all changes up to
-  // KnownAt.
+  // KnownAt, also from other VMs. The first read after a restore keeps what it
+  // contradicts, for a limited time from EraSeenAt, when this VM first heard of
+  // the era of Position. What is missing from a read has no position of its
+  // own, so the last change is the read.
   void replace(const std::map<std::string, StorePosition> &Listed,
                StorePosition Position, const std::set<std::string> &Known,
-               StorePosition KnownAt, Time Now);
+               StorePosition KnownAt, Time EraSeenAt, Time Now);
   // Applies a write or a removal that a watch has returned.
   void set(const std::string &Domain, bool Evacuated, StorePosition Position);
-  // Ends the time for which the state before a restore is kept. Returns whether
-  // the domains have changed by that.
-  bool tick(Time Now);
+  // Whether what is kept from before a restore is due to end.
+  bool keptIsDue(Time Now) const {
+    return !m_Kept.empty() && Now >= m_KeptUntil;
+  }
+  Time keptUntil() const { return m_KeptUntil; }
+  // Returns the time until keptIsDue(), at most Limit.
+  Duration timeUntilKeptIsDue(Time Now, Duration Limit) const;
+  // Ends what is kept, if it is due, as a change at Position, up to which this
+  // VM has all changes. Returns false and does nothing unless Position is above
+  // Announced, the last one that other VMs have been told.
+  bool tick(Time Now, StorePosition Position, StorePosition Announced);
 
   const std::set<std::string> &domains() const { return m_Domains; }
   // Position of the last change of the domains.
@@ -38,7 +51,7 @@
   // kept: whether they are evacuated.
   std::map<std::string, bool> m_Kept;
   Time m_KeptUntil{0};
-  StorePosition m_ReadAt; // Position of the last whole read.
+  std::uint64_t m_ReadEra = 0; // Era of the last whole read.
   StorePosition m_LastChange;
 };
 
--- a/lib/Evacuations.cpp
+++ b/lib/Evacuations.cpp
@@ -12,10 +12,14 @@
 
 void EvacuationTable::replace(
     const std::map<std::string, StorePosition> &Listed, StorePosition Position,
-    const std::set<std::string> &Known, StorePosition KnownAt, Time Now) {
-  bool Restored = !KnownAt.isNone() && Position.m_Era > KnownAt.m_Era;
+    const std::set<std::string> &Known, StorePosition KnownAt, Time EraSeenAt,
+    Time Now) {
+  bool Restored = !KnownAt.isNone() &&
+                  Position.m_Era > std::min(KnownAt.m_Era, m_ReadEra) &&
+                  Now < EraSeenAt + RewriteTime;
+  m_ReadEra = Position.m_Era;
   if (Restored)
-    m_KeptUntil = Now + RewriteTime;
+    m_KeptUntil = EraSeenAt + RewriteTime;
   bool Keeps = Restored || (Now < m_KeptUntil && !m_Kept.empty());
   std::map<std::string, bool> Kept;
   std::set<std::string> Domains;
@@ -29,7 +33,6 @@
       Kept[Domain] = true;
     else
       Domains.insert(Domain);
-    m_LastChange = std::max(m_LastChange, WrittenAt);
   }
   for (const std::string &Domain : Restored ? Known : m_Domains) {
     if (Listed.contains(Domain))
@@ -39,13 +42,9 @@
       Domains.insert(Domain);
     }
   }
-  // A whole read shows removals only by what is missing from it. Other VMs take
-  // over only what has changed later than what they know.
-  if (Restored || (!m_ReadAt.isNone() && Domains != m_Domains))
-    m_LastChange = std::max(m_LastChange, Position);
+  m_LastChange = std::max(m_LastChange, Position);
   m_Domains = std::move(Domains);
   m_Kept = std::move(Kept);
-  m_ReadAt = std::max(m_ReadAt, Position);
 }
 
 void EvacuationTable::set(const std::string &Domain, bool Evacuated,
@@ -56,11 +55,17 @@
   else
     m_Domains.erase(Domain);
   m_LastChange = std::max(m_LastChange, Position);
-  m_ReadAt = std::max(m_ReadAt, Position);
 }
 
-bool EvacuationTable::tick(Time Now) {
-  if (m_Kept.empty() || Now < m_KeptUntil)
+Duration EvacuationTable::timeUntilKeptIsDue(Time Now, Duration Limit) const {
+  if (m_Kept.empty())
+    return Limit;
+  return std::clamp(m_KeptUntil - Now, Duration{0}, Limit);
+}
+
+bool EvacuationTable::tick(Time Now, StorePosition Position,
+                           StorePosition Announced) {
+  if (!keptIsDue(Now) || Position <= Announced)
     return false;
   for (const auto &[Domain, Evacuated] : m_Kept) {
     if (Evacuated)
@@ -69,7 +74,7 @@
       m_Domains.erase(Domain);
   }
   m_Kept.clear();
-  m_LastChange = std::max(m_LastChange, m_ReadAt);
+  m_LastChange = std::max(m_LastChange, Position);
   return true;
 }
 
--- a/test/RestoreTest.cpp
+++ b/test/RestoreTest.cpp
@@ -389,7 +389,7 @@
          {"z"},
          {},
          [](EvacuationTable &T) {
-           T.replace({{"y", {2, 59}}}, {2, 60}, T.domains(), {2, 58}, 11s);
+           T.replace({{"y", {2, 59}}}, {2, 60}, T.domains(), {2, 58}, 10s, 11s);
          },
          {"y", "z"},
          {"y"}},
@@ -397,15 +397,164 @@
     for (const Row &Case : Rows) {
       CAPTURE(Case.m_Name);
       EvacuationTable Table;
-      Table.replace(Case.m_Copy, {2, 57}, Case.m_Known, {1, 60}, 10s);
+      Table.replace(Case.m_Copy, {2, 57}, Case.m_Known, {1, 60}, 10s, 10s);
       Case.m_Later(Table);
-      Table.tick(11s);
+      Table.tick(11s, {2, 62}, Table.lastChange());
       CHECK(Table.domains() == Case.m_AtOnce);
       // Other VMs take over only what has a higher position than what they
       // know.
       CHECK(Table.lastChange() > StorePosition{1, 60});
-      Table.tick(14s);
+      Table.tick(14s, {2, 63}, Table.lastChange());
       CHECK(Table.domains() == Case.m_After4s);
     }
   }
+
+  // Guards against an evacuation that never reaches the VMs that do not read
+  // the store: what a reader had held back after a restore was announced at a
+  // position that they already had.
+  TEST_CASE("every change of the evacuated domains raises their position") {
+    using Domains = std::set<std::string>;
+    using Table = EvacuationTable;
+    struct Row {
+      const char *m_Name;
+      Domains m_Known; // In force at the reader, up to position 1.60.
+      std::map<std::string, StorePosition> m_Copy;
+      // Later steps, a second apart; each is told to the other VMs.
+      std::vector<std::function<void(Table &, StorePosition, Time)>> m_Steps;
+      Domains m_Expected;
+    };
+    auto Tick = [](std::uint64_t Revision) {
+      return [Revision](Table &T, StorePosition Told, Time Now) {
+        T.tick(Now, {2, Revision}, Told);
+      };
+    };
+    auto Set = [](const char *Domain, bool Evacuated, std::uint64_t Revision) {
+      return [=](Table &T, StorePosition Told, Time Now) {
+        T.set(Domain, Evacuated, {2, Revision});
+        T.tick(Now, {2, Revision}, Told);
+      };
+    };
+    auto Read = [](std::map<std::string, StorePosition> Listed,
+                   std::uint64_t Revision) {
+      return [=](Table &T, StorePosition, Time Now) {
+        T.replace(Listed, {2, Revision}, T.domains(), {2, 57}, 10s, Now);
+      };
+    };
+    const Row Rows[] = {
+        {"held back, the store moves on",
+         {},
+         {{"z", {2, 56}}},
+         {Tick(57), Tick(58), Tick(59), Tick(60), Tick(61)},
+         {"z"}},
+        {"held back, the store stands still until it is due",
+         {},
+         {{"z", {2, 56}}},
+         {Tick(57), Tick(57), Tick(57), Tick(57), Tick(58)},
+         {"z"}},
+        {"kept, and not written again",
+         {"z"},
+         {},
+         {Tick(57), Tick(57), Tick(58), Tick(59), Tick(60)},
+         {}},
+        {"held back beside another change when it is due",
+         {},
+         {{"z", {2, 56}}},
+         {Tick(57), Tick(57), Tick(57), Set("y", true, 58)},
+         {"y", "z"}},
+        {"held back behind a later change",
+         {},
+         {{"z", {2, 56}}},
+         {Set("y", true, 58), Tick(58), Tick(58), Tick(58), Tick(59)},
+         {"y", "z"}},
+        {"taken back where only a whole read shows it",
+         {"z"},
+         {{"z", {2, 50}}},
+         {Read({}, 58)},
+         {}},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      Table Reader;
+      Time Now = 10s;
+      Reader.replace(Case.m_Copy, {2, 57}, Case.m_Known, {1, 60}, Now, Now);
+      StorePosition Told; // Another VM, which takes only higher positions.
+      Domains Taken = Case.m_Known;
+      auto Tell = [&] {
+        if (Reader.lastChange() > Told)
+          Taken = Reader.domains();
+        Told = std::max(Told, Reader.lastChange());
+        CHECK(Taken == Reader.domains());
+      };
+      Tell();
+      for (const auto &Step : Case.m_Steps) {
+        Now += 1s;
+        Step(Reader, Told, Now);
+        Tell();
+      }
+      CHECK(Taken == Case.m_Expected);
+    }
+  }
+
+  // The first VM to read after a restore tells the others, which then know of
+  // the new era before they read themselves.
+  TEST_CASE("a VM that was told of a restore keeps evacuations as well") {
+    struct Row {
+      const char *m_Name;
+      std::set<std::string> m_Known; // Told at position 2.55.
+      std::map<std::string, StorePosition> m_Listed;
+      std::set<std::string> m_AtOnce;
+      std::set<std::string> m_After4s;
+    };
+    for (std::uint64_t FirstReadEra : {0U, 1U}) {
+      for (const Row &Case :
+           {Row{"begun, and not in the copy", {"z"}, {}, {"z"}, {}},
+            Row{"held back by the teller", {}, {{"z", {2, 53}}}, {}, {"z"}},
+            Row{"begun since", {}, {{"z", {2, 56}}}, {"z"}, {"z"}}}) {
+        CAPTURE(Case.m_Name);
+        CAPTURE(FirstReadEra);
+        EvacuationTable Table;
+        if (FirstReadEra > 0)
+          Table.replace({}, {FirstReadEra, 50}, {}, {}, 5s, 5s);
+        Table.replace(Case.m_Listed, {2, 57}, Case.m_Known, {2, 55}, 10s, 10s);
+        CHECK(Table.domains() == Case.m_AtOnce);
+        CHECK_FALSE(Table.keptIsDue(12s));
+        Table.tick(14s, {2, 58}, Table.lastChange());
+        CHECK(Table.domains() == Case.m_After4s);
+      }
+    }
+  }
+
+  // Guards against an evacuation that begins late at a VM that reads late: the
+  // time for which evacuations are kept runs from the restore.
+  TEST_CASE(
+      "a late read after a restore keeps evacuations for a shorter time") {
+    struct Row {
+      Time m_ReadAt;
+      std::set<std::string> m_AtOnce;
+      Time m_DueAt; // 0: nothing is kept.
+    };
+    for (const Row &Case : {Row{10s, {}, 13s}, Row{12s, {}, 13s},
+                            Row{13s, {"z"}, 0s}, Row{20s, {"z"}, 0s}}) {
+      CAPTURE(Case.m_ReadAt.count());
+      EvacuationTable Table;
+      Table.replace({{"z", {2, 53}}}, {2, 57}, {}, {1, 60}, 10s, Case.m_ReadAt);
+      CHECK(Table.domains() == Case.m_AtOnce);
+      CHECK(Table.keptIsDue(30s) == (Case.m_DueAt.count() > 0));
+      if (Case.m_DueAt.count() > 0) {
+        CHECK_FALSE(Table.keptIsDue(Case.m_DueAt - 1ms));
+        CHECK(Table.keptIsDue(Case.m_DueAt));
+      }
+    }
+  }
+
+  // Guards against an evacuation that stays in force after its end: a reader
+  // that was told of it, and read neither its begin nor its end, announced no
+  // change.
+  TEST_CASE("a whole read is a change at its own position") {
+    EvacuationTable Table;
+    Table.replace({}, {1, 50}, {}, {}, 5s, 5s);
+    Table.replace({}, {1, 80}, {"z"}, {1, 60}, 5s, 10s);
+    CHECK(Table.domains().empty());
+    CHECK(Table.lastChange() == StorePosition{1, 80});
+  }
 }
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -195,6 +195,8 @@
   // position up to which changes are known, and when they were read.
   void recordOperatorRead(bool Read, StorePosition LastChange,
                           StorePosition Complete, Time KnownAt);
+  // Tells the region of a change that took effect without a new read.
+  void announceOperatorChange(StorePosition Position);
   // Returns why this VM should read the list or the operators' changes itself:
   // it is the reader of its region, or the reader's updates are missing.
   ReadReason reasonToReadList() const;
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -298,6 +298,11 @@
     sendListUpdate();
 }
 
+void Node::announceOperatorChange(StorePosition Position) {
+  m_OperatorPosition = std::max(m_OperatorPosition, Position);
+  sendListUpdate();
+}
+
 // Sends a list update to the region at intervals even without changes, which
 // shows that the region's reader is working.
 void Node::sendPeriodicListUpdate() {
