Tell evacuations at the position that they were heard at

Cause: a VM passed on the evacuations that it had been told of at the position of its own last read, or at none. And a reader of an older build ends what it keeps from before a restore at a position that all others have; they saw other domains at the same position and ignored them. Ruled out: no older VM hears of the mended state; the message is the same for both. Change: makeListUpdate names the position up to which all changes are known, by reads or by what was told.

--- a/include/rhubarb/Evacuations.h
+++ b/include/rhubarb/Evacuations.h
@@ -55,4 +55,28 @@
   StorePosition m_LastChange;
 };
 
+// The evacuated failure domains that are in force on one VM, by its own reads
+// and by what other VMs tell.
+class EvacuationsInForce {
+public:
+  // Takes over the domains at a position. Returns false if they are older than
+  // those in force.
+  bool apply(const std::set<std::string> &Domains, StorePosition Position);
+  // Compares with what another VM tells, and returns whether that is newer.
+  bool observeTold(const std::set<std::string> &Domains, StorePosition Position,
+                   Time Now);
+  // Whether another VM has told of other domains at the same position for some
+  // time. Older builds end what they keep from before a restore without a new
+  // position; only the store says then what is in force.
+  bool stayDifferent(Time Now) const;
+
+  const std::set<std::string> &domains() const { return m_Domains; }
+  StorePosition position() const { return m_Position; }
+
+private:
+  std::set<std::string> m_Domains;
+  StorePosition m_Position;
+  Time m_DifferSince{0}; // 0: no VM tells of other domains.
+};
+
 } // namespace rhubarb
--- a/lib/Evacuations.cpp
+++ b/lib/Evacuations.cpp
@@ -7,6 +7,9 @@
 
 // Operators write again within this time what a restored store has lost.
 constexpr Duration RewriteTime = 3s;
+// VMs that hear of different evacuations at one position for longer read them
+// from the store.
+constexpr Duration DifferTime = 500ms;
 
 } // namespace
 
@@ -78,4 +81,29 @@
   return true;
 }
 
+bool EvacuationsInForce::apply(const std::set<std::string> &Domains,
+                               StorePosition Position) {
+  if (Position < m_Position)
+    return false;
+  m_Domains = Domains;
+  m_Position = Position;
+  m_DifferSince = Time{0};
+  return true;
+}
+
+bool EvacuationsInForce::observeTold(const std::set<std::string> &Domains,
+                                     StorePosition Position, Time Now) {
+  if (Position == m_Position) {
+    if (Domains == m_Domains)
+      m_DifferSince = Time{0};
+    else if (m_DifferSince.count() == 0)
+      m_DifferSince = Now;
+  }
+  return Position > m_Position;
+}
+
+bool EvacuationsInForce::stayDifferent(Time Now) const {
+  return m_DifferSince.count() > 0 && Now - m_DifferSince >= DifferTime;
+}
+
 } // namespace rhubarb
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -23,10 +23,14 @@
     "               [--nodes=N] [--rate=N] [--net=NET] [--dir=DIR]\n"
     "               [--served=PERCENT] [--refused=PERCENT]\n"
     "               [--limit-use=PERCENT] [--long-rate=N]\n"
+    "               [--node-before=FILE]\n"
     "  rhubarb-soak --list\n"
     "  rhubarb-soak (-h | --help)\n\n"
     "Options:\n"
     "  --node=FILE       Path of the node's executable.\n"
+    "  --node-before=FILE  Path of an older build's executable. Every other\n"
+    "                    node starts with it, and each restart changes a\n"
+    "                    node's build.\n"
     "  --seed=N          Seed of all random choices [default: 1].\n"
     "  --seconds=N       Duration of fault injection [default: 12].\n"
     "  --faults=NAMES    Faults to choose from, comma-separated; none or all\n"
@@ -142,7 +146,8 @@
   Deployment.setMinLimitUse(
       static_cast<double>(parseInteger(Arguments.value("--limit-use"), 0)) /
       100);
-  soak::Nodes Nodes(Arguments.value("--node"), Arguments.value("--dir"));
+  soak::Nodes Nodes(Arguments.value("--node"), Arguments.value("--node-before"),
+                    Arguments.value("--dir"));
   for (int Node = 0; Node < Deployment.nodes(); ++Node)
     Nodes.add(Deployment.nodeSettings(Node));
   Plan.m_Length =
--- a/soak/Nodes.cpp
+++ b/soak/Nodes.cpp
@@ -39,8 +39,10 @@
 
 } // namespace
 
-Nodes::Nodes(std::string Program, std::string Directory)
-    : m_Program(std::move(Program)), m_Directory(std::move(Directory)) {
+Nodes::Nodes(std::string Program, std::string OlderProgram,
+             std::string Directory)
+    : m_Program(std::move(Program)), m_OlderProgram(std::move(OlderProgram)),
+      m_Directory(std::move(Directory)) {
   std::filesystem::create_directories(m_Directory);
 }
 
@@ -60,6 +62,7 @@
   NewNode.m_LogFile = Name + ".log";
   std::ofstream(NewNode.m_SettingsFile) << Settings;
   std::filesystem::remove(NewNode.m_LogFile);
+  NewNode.m_RunsOlder = !m_OlderProgram.empty() && m_Nodes.size() % 2 == 1;
   start(NewNode);
   m_Nodes.push_back(std::move(NewNode));
 }
@@ -67,13 +70,13 @@
 void Nodes::start(Node &Process) const {
   std::string SettingsOption = "--settings=" + Process.m_SettingsFile;
   std::string LogLines = "--log-lines=200";
-  std::string Program = m_Program;
+  std::string Program = Process.m_RunsOlder ? m_OlderProgram : m_Program;
   char *Arguments[] = {Program.data(), SettingsOption.data(), LogLines.data(),
                        nullptr};
   SpawnFileActions SpawnActions(Process.m_LogFile);
   Process.m_StopSignalled = false;
-  if (posix_spawn(&Process.m_Pid, m_Program.c_str(), SpawnActions.get(),
-                  nullptr, Arguments, environ) != 0)
+  if (posix_spawn(&Process.m_Pid, Program.c_str(), SpawnActions.get(), nullptr,
+                  Arguments, environ) != 0)
     Process.m_Pid = 0;
 }
 
@@ -99,6 +102,7 @@
                                     " with status " + std::to_string(Status));
       Process.m_Pid = 0;
       Process.m_ExitedAt = net::now();
+      Process.m_RunsOlder = !m_OlderProgram.empty() && !Process.m_RunsOlder;
     }
     if (Process.m_Pid == 0 && net::now() - Process.m_ExitedAt >= RestartDelay)
       start(Process);
--- a/soak/Nodes.h
+++ b/soak/Nodes.h
@@ -12,7 +12,9 @@
 
 class Nodes {
 public:
-  Nodes(std::string Program, std::string Directory);
+  // OlderProgram may be empty. Otherwise every other node starts with it, and
+  // each restart changes a node's program.
+  Nodes(std::string Program, std::string OlderProgram, std::string Directory);
   // Kills the processes that still run.
   ~Nodes();
   Nodes(const Nodes &) = delete;
@@ -35,6 +37,7 @@
     std::string m_SettingsFile;
     std::string m_LogFile;
     pid_t m_Pid = 0;
+    bool m_RunsOlder = false;
     // SIGTERM or SIGKILL has been sent since the last start.
     bool m_StopSignalled = false;
     Time m_ExitedAt{0};
@@ -42,6 +45,7 @@
   void start(Node &Process) const;
 
   std::string m_Program;
+  std::string m_OlderProgram;
   std::string m_Directory;
   std::vector<Node> m_Nodes;
   std::vector<std::string> m_UnexpectedExits;
--- a/test/RestoreTest.cpp
+++ b/test/RestoreTest.cpp
@@ -524,6 +524,54 @@
     }
   }
 
+  // Guards against an evacuation that a reader of an older build announces at a
+  // position that this VM already has: such a VM reads the store itself.
+  TEST_CASE("different evacuations at one position are noticed") {
+    using Domains = std::set<std::string>;
+    struct Told {
+      Time m_At;
+      Domains m_Domains;
+      StorePosition m_Position;
+    };
+    struct Row {
+      const char *m_Name;
+      std::vector<Told> m_Updates;
+      Domains m_Expected;
+      bool m_Different;
+    };
+    const Row Rows[] = {
+        {"the same", {{2s, {}, {2, 55}}, {3s, {}, {2, 55}}}, {}, false},
+        {"others at the same position",
+         {{2s, {"z"}, {2, 55}}, {2400ms, {"z"}, {2, 55}}},
+         {},
+         true},
+        {"others for a moment only",
+         {{2s, {"z"}, {2, 55}}, {2400ms, {}, {2, 55}}},
+         {},
+         false},
+        {"others, and then a new position",
+         {{2s, {"z"}, {2, 55}}, {2400ms, {"y"}, {2, 56}}},
+         {"y"},
+         false},
+        {"others at an older position", {{2s, {"z"}, {1, 90}}}, {}, false},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      EvacuationsInForce InForce;
+      InForce.apply({}, {2, 55});
+      for (const Told &Update : Case.m_Updates)
+        if (InForce.observeTold(Update.m_Domains, Update.m_Position,
+                                Update.m_At))
+          CHECK(InForce.apply(Update.m_Domains, Update.m_Position));
+      CHECK_FALSE(InForce.stayDifferent(2100ms));
+      CHECK(InForce.stayDifferent(4s) == Case.m_Different);
+      CHECK(InForce.domains() == Case.m_Expected);
+      CHECK_FALSE(InForce.apply({"x"}, {2, 54}));
+      CHECK(InForce.apply({"x"}, {2, 57}));
+      CHECK_FALSE(InForce.stayDifferent(9s));
+    }
+  }
+
   // Guards against an evacuation that begins late at a VM that reads late: the
   // time for which evacuations are kept runs from the restore.
   TEST_CASE(
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -297,16 +297,13 @@
 
 void Node::applyEvacuated(const std::set<std::string> &Domains,
                           StorePosition Position) {
-  if (Position < m_EvacuatedPosition)
-    return;
-  m_EvacuatedPosition = Position;
-  if (Domains == m_EvacuatedDomains)
+  const std::set<std::string> Before = m_Evacuated.domains();
+  if (!m_Evacuated.apply(Domains, Position) || Domains == Before)
     return;
   logEvent(Severity::Info, "evacuated_domains",
            {{"count", std::to_string(Domains.size())},
             {"first", Domains.empty() ? "" : *Domains.begin()},
             {"store_position", positionText(Position)}});
-  m_EvacuatedDomains = Domains;
   Duration ColdDuration{0};
   for (const PoolSettings &Pool : m_Routes.config().m_Pools)
     ColdDuration = std::max(ColdDuration, Pool.m_ColdDuration);
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -14,6 +14,7 @@
 
 #include "rhubarb/Detours.h"
 #include "rhubarb/Dispatch.h"
+#include "rhubarb/Evacuations.h"
 #include "rhubarb/Members.h"
 #include "rhubarb/Readers.h"
 #include "rhubarb/Relays.h"
@@ -215,7 +216,7 @@
                      ReadReason Before) const;
   void applyEvacuated(const std::set<std::string> &Domains,
                       StorePosition Position);
-  const std::set<std::string> &evacuated() const { return m_EvacuatedDomains; }
+  const EvacuationsInForce &evacuated() const { return m_Evacuated; }
   // All operators' changes up to this position are known here.
   StorePosition operatorCompletePosition() const {
     return m_OperatorCompletePosition;
@@ -433,8 +434,7 @@
   Time m_RateLimitUpdatesSentAt{0};
   std::set<std::string> m_UnknownHeaders; // Header names that were logged.
   bool m_ReadFailing = false; // The last read of the control plane failed.
-  std::set<std::string> m_EvacuatedDomains;
-  StorePosition m_EvacuatedPosition;
+  EvacuationsInForce m_Evacuated;
   std::unordered_map<RequestId, ExchangePtr> m_QueuedExchanges;
   std::unordered_multimap<ServerIndex, ExchangePtr> m_RunningAttempts;
   std::unordered_map<int, RetryBudget> m_RetryBudgets; // Keyed by pool.
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -322,10 +322,15 @@
   Update.m_Age = now() - m_List.knownAt();
   Update.m_Digest = m_List.digest();
   Update.m_OperatorPosition = m_OperatorPosition;
+  // During an outage of the store, a VM may have been told of all changes by
+  // others without any read of its own.
+  if (m_OperatorCompletePosition >= m_Evacuated.position())
+    Update.m_OperatorPosition =
+        std::max(m_OperatorPosition, m_Evacuated.position());
   Update.m_ConfigRevision = revision();
   Update.m_ConfigBytes = m_ConfigDocument.m_Text.size();
   Update.m_OperatorAge = now() - m_OperatorKnownAt;
-  Update.m_EvacuatedDomains = m_EvacuatedDomains;
+  Update.m_EvacuatedDomains = m_Evacuated.domains();
   Update.m_Rows = std::move(Rows);
   return Update;
 }
@@ -609,7 +614,7 @@
 // this VM has all operators' changes that the peer has read.
 void Node::updateOperatorCompletePosition() {
   if (m_AnnouncedOperatorUpdate.m_ConfigRevision <= revision() &&
-      m_AnnouncedOperatorUpdate.m_OperatorPosition == m_EvacuatedPosition)
+      m_AnnouncedOperatorUpdate.m_OperatorPosition == m_Evacuated.position())
     m_OperatorCompletePosition =
         std::max(m_OperatorCompletePosition,
                  m_AnnouncedOperatorUpdate.m_OperatorPosition);
@@ -625,7 +630,8 @@
     confirmListComplete(Update.m_Position, now() - Update.m_Age);
   if (m_List.changeCount() != m_AppliedListChanges)
     applyList();
-  if (Update.m_OperatorPosition > m_EvacuatedPosition)
+  if (m_Evacuated.observeTold(Update.m_EvacuatedDomains,
+                              Update.m_OperatorPosition, now()))
     applyEvacuated(Update.m_EvacuatedDomains, Update.m_OperatorPosition);
   if (Update.m_OperatorPosition >=
       m_AnnouncedOperatorUpdate.m_OperatorPosition) {
