Limit what all connections of a process hold together

Reported by operators of other systems: a faulty server sent bytes that were no answer, without end, until the machine that had called it ran out of memory. Change: BufferBudget counts the bodies that HttpServer and HttpClient hold, against a quarter of the VM's memory; reads are reserved before they begin. Above it bodies are streamed, and where requests are read whole they are refused with buffers_full. Unparsed bytes end at 32 KB. A failed exchange closes its connection. A health answer that has not ended within 64 KB is bad.

--- a/include/rhubarb/Errors.h
+++ b/include/rhubarb/Errors.h
@@ -58,6 +58,7 @@
   ServerFailed,
   ServersRateLimited,
   CrashesServers,
+  BuffersFull,
   Count,
 };
 
--- a/lib/Errors.cpp
+++ b/lib/Errors.cpp
@@ -82,6 +82,8 @@
      Outcome::NotRun, true, "come back after Retry-After"},
     {ErrorKind::CrashesServers, "crashes_servers", 503, Outcome::NotRun, true,
      "servers end when they run this request; do not repeat it as it is"},
+    {ErrorKind::BuffersFull, "buffers_full", 503, Outcome::NotRun, true,
+     "use another entry VM"},
 }};
 
 constexpr std::array<std::string_view, 3> OutcomeNames{"answered", "not-run",
--- a/net/Http.h
+++ b/net/Http.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <limits>
@@ -81,6 +82,43 @@
   std::function<void()> m_Hook;
 };
 
+// Limits the bytes of bodies that the connections of a process hold together. A
+// limit for each connection alone would not keep the process within the memory
+// of its VM.
+class BufferBudget {
+public:
+  explicit BufferBudget(std::size_t LimitBytes) : m_LimitBytes(LimitBytes) {}
+  std::size_t usedBytes() const { return m_UsedBytes; }
+  std::size_t leftBytes() const {
+    return m_LimitBytes - std::min(m_LimitBytes, m_UsedBytes);
+  }
+
+private:
+  friend class BufferedBytes;
+  std::size_t m_LimitBytes;
+  std::size_t m_UsedBytes = 0;
+};
+using BufferBudgetPtr = std::shared_ptr<BufferBudget>;
+
+// Counts bytes against a budget while it exists. Without a budget nothing is
+// counted.
+class BufferedBytes {
+public:
+  explicit BufferedBytes(BufferBudgetPtr Budget)
+      : m_Budget(std::move(Budget)) {}
+  ~BufferedBytes() { set(0); }
+  BufferedBytes(const BufferedBytes &) = delete;
+  BufferedBytes &operator=(const BufferedBytes &) = delete;
+  void set(std::size_t Bytes);
+  // Counts Bytes in all, unless the budget has no room for that. Reserved
+  // before a read, as others read meanwhile.
+  bool reserve(std::size_t Bytes);
+
+private:
+  BufferBudgetPtr m_Budget; // May be null.
+  std::size_t m_Bytes = 0;
+};
+
 // A request. The body is complete unless m_BodyStream is set.
 struct HttpRequest {
   std::string m_Method = "GET";
@@ -114,6 +152,8 @@
   std::optional<std::size_t> m_TruncateAfterBytes = std::nullopt;
   // For simulated servers: stray bytes sent after this response.
   std::string m_ExtraBytes = {};
+  // Counts m_Body against the budget of the client that read it. May be null.
+  std::shared_ptr<BufferedBytes> m_Buffered = nullptr;
 
   std::string_view header(std::string_view Name) const;
 };
@@ -140,6 +180,10 @@
   Duration m_WriteTimeout = 10s;
   // Longer bodies are streamed to the handler, see HttpRequest::m_BodyStream.
   std::size_t m_MaxBufferedBodyBytes = std::numeric_limits<std::size_t>::max();
+  // Shared by servers and clients. When it is used up, bodies are streamed
+  // before they reach m_MaxBufferedBodyBytes; where that has no limit, requests
+  // with a body are refused. Null: no budget.
+  BufferBudgetPtr m_Budget = nullptr;
 };
 
 // Returns the limits for ports that serve control-plane messages.
@@ -237,6 +281,8 @@
   std::size_t m_MaxBodyBytes = 4U << 20U;
   // Longer bodies are streamed, see HttpResponse::m_BodyStream.
   std::size_t m_MaxBufferedBodyBytes = std::numeric_limits<std::size_t>::max();
+  // Bodies that do not fit are streamed earlier. Null: no budget.
+  BufferBudgetPtr m_Budget = nullptr;
   std::size_t m_MaxIdleConnectionsPerAddress = 32;
   Duration m_MaxIdleTime = 2s;
   Duration m_ConnectTimeout = 1s;
--- a/net/HttpBody.h
+++ b/net/HttpBody.h
@@ -24,7 +24,7 @@
 inline constexpr std::size_t BodyReadBytes = 16U << 10U;
 // Limit on received bytes that the parser cannot consume yet, such as an
 // endless chunk extension. Beyond it the connection is closed.
-inline constexpr std::size_t MaxUnparsedBytes = 128U << 10U;
+inline constexpr std::size_t MaxUnparsedBytes = 32U << 10U;
 
 // Returns the header fields of a message in order.
 template <class Fields>
@@ -57,6 +57,14 @@
   return Text;
 }
 
+// Returns the capacity that a body has after one more read. It doubles like
+// that of any string that grows.
+inline std::size_t capacityForRead(const std::string &Body) {
+  std::size_t Needed = Body.size() + BodyReadBytes;
+  return Needed <= Body.capacity() ? Body.capacity()
+                                   : std::max(Needed, 2 * Body.capacity());
+}
+
 // Reads until at least one more body byte arrives or the body ends, and appends
 // the bytes to Into.
 template <bool IsRequest>
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -276,6 +276,8 @@
       break;
     State->m_Unsent.erase(0, Sent);
     co_await transfer(State);
+    if (Result.m_Failure != HttpFailure::None)
+      State->m_Connection->m_Stream.close(); // Ends an unfinished upload.
     if (!m_Reachability.allows(PeerIp))
       Result.m_Failure = HttpFailure::Timeout;
     if (Cancel && Cancel->cancelled() && Result.m_Failure != HttpFailure::None)
@@ -309,9 +311,13 @@
     co_return;
   ResponseParser &Parser = *State->m_Parser;
   std::string &Body = Result.m_Response.m_Body;
-  while (!Parser.is_done() && Body.size() < m_Limits.m_MaxBufferedBodyBytes) {
+  auto Buffered = std::make_shared<BufferedBytes>(m_Limits.m_Budget);
+  Result.m_Response.m_Buffered = Buffered;
+  while (!Parser.is_done() && Body.size() < m_Limits.m_MaxBufferedBodyBytes &&
+         Buffered->reserve(capacityForRead(Body))) {
     auto Error = co_await readBodyFragment(
         Stream, State->m_Connection->m_Buffer, Parser, Body);
+    Buffered->set(Body.capacity());
     if (Error) {
       Result.m_Failure = toFailure(Error);
       co_return;
--- a/net/HttpMessages.cpp
+++ b/net/HttpMessages.cpp
@@ -26,6 +26,19 @@
 
 } // namespace
 
+void BufferedBytes::set(std::size_t Bytes) {
+  if (m_Budget)
+    m_Budget->m_UsedBytes += Bytes - m_Bytes;
+  m_Bytes = Bytes;
+}
+
+bool BufferedBytes::reserve(std::size_t Bytes) {
+  if (m_Budget && Bytes > m_Bytes && Bytes - m_Bytes > m_Budget->leftBytes())
+    return false;
+  set(Bytes);
+  return true;
+}
+
 BodyReader::BodyReader(BodyStreamPtr Stream) : m_Stream(std::move(Stream)) {
   ++m_Stream->m_Readers;
 }
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -246,14 +246,23 @@
     Error = WriteError;
   }
   std::string Body;
+  BufferedBytes Buffered(m_Limits.m_Budget);
   while (!Error && !Parser->is_done() &&
-         Body.size() < m_Limits.m_MaxBufferedBodyBytes) {
+         Body.size() < m_Limits.m_MaxBufferedBodyBytes &&
+         Buffered.reserve(capacityForRead(Body))) {
     Stream.expires_after(m_Limits.m_ReadTimeout);
     Error = co_await readBodyFragment(Stream, Client->m_Buffer, *Parser, Body);
+    Buffered.set(Body.capacity());
   }
-  if (Error || Client->m_OverLimit) {
-    ErrorKind Kind = Client->m_OverLimit ? ErrorKind::TooManyConnections
-                                         : readErrorKind(Error);
+  bool Streams =
+      m_Limits.m_MaxBufferedBodyBytes < std::numeric_limits<std::size_t>::max();
+  bool BuffersFull = !Error && !Parser->is_done() && !Streams;
+  if (Error || Client->m_OverLimit || BuffersFull) {
+    ErrorKind Kind = readErrorKind(Error);
+    if (BuffersFull)
+      Kind = ErrorKind::BuffersFull;
+    if (Client->m_OverLimit)
+      Kind = ErrorKind::TooManyConnections;
     if (Kind == ErrorKind::None)
       co_return false;
     reportRefusal(Kind);
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -201,6 +201,26 @@
   Out.m_ServerDone = true;
 }
 
+// Reads some of an upload, then sends bytes without end in place of an answer.
+asio::awaitable<void> endlessAnswerServer(tcp::acceptor &Acceptor,
+                                          std::string First,
+                                          std::string Repeated,
+                                          UploadOutcome &Out) {
+  auto [Error, Socket] = co_await Acceptor.async_accept(Await);
+  std::string Buffer(100000, '\0');
+  co_await asio::async_read(Socket, asio::buffer(Buffer), Await);
+  std::string Fragment = std::move(First);
+  while (!Error) {
+    while (Fragment.size() < 16384)
+      Fragment += Repeated;
+    auto [WriteError, Written] =
+        co_await asio::async_write(Socket, asio::buffer(Fragment), Await);
+    Error = WriteError;
+    Fragment.clear();
+  }
+  Out.m_ServerDone = true;
+}
+
 asio::awaitable<void> sendUpload(std::shared_ptr<tcp::socket> Socket,
                                  std::string Body, bool Chunked) {
   std::string Head = "POST / HTTP/1.1\r\nHost: x\r\n";
@@ -242,8 +262,12 @@
     co_await sleepFor(10ms);
 }
 
+using UploadServer =
+    std::function<asio::awaitable<void>(tcp::acceptor &, UploadOutcome &)>;
+
 // Runs one upload through an HttpServer that forwards it with an HttpClient.
-UploadOutcome runUpload(const UploadPlan &Plan, const std::string &Body) {
+UploadOutcome runUpload(const UploadServer &RunServer, const std::string &Body,
+                        bool Chunked) {
   HttpFixture Fixture;
   HttpClientLimits ClientLimits;
   ClientLimits.m_MaxBufferedBodyBytes = 64U << 10U;
@@ -274,13 +298,29 @@
   auto Port = Server.start("127.0.0.1", 0);
   REQUIRE(Port);
   UploadOutcome Out;
-  asio::co_spawn(Fixture.m_Io, earlyAnswerServer(Acceptor, Plan, Out),
-                 asio::detached);
-  Fixture.run(
-      exchangeUpload(Fixture.m_Io, Port.value(), Body, Plan.m_Chunked, Out));
+  asio::co_spawn(Fixture.m_Io, RunServer(Acceptor, Out), asio::detached);
+  Fixture.run(exchangeUpload(Fixture.m_Io, Port.value(), Body, Chunked, Out));
   return Out;
 }
 
+// Sends the start of a body that never ends, then waits for the answer.
+asio::awaitable<void> sendEndlessBody(asio::io_context &Io, std::uint16_t Port,
+                                      std::size_t Bytes, std::string &Answer,
+                                      int &Ended) {
+  tcp::socket Socket(Io);
+  co_await Socket.async_connect({asio::ip::make_address("127.0.0.1"), Port},
+                                Await);
+  std::string Text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                     std::to_string(1U << 20U) + "\r\n\r\n" +
+                     std::string(Bytes, 'x');
+  co_await asio::async_write(Socket, asio::buffer(Text), Await);
+  std::string Buffer(4096, '\0');
+  auto [Error, Read] =
+      co_await Socket.async_read_some(asio::buffer(Buffer), Await);
+  Answer = Buffer.substr(0, Read);
+  ++Ended;
+}
+
 } // namespace
 
 TEST_SUITE("http") {
@@ -556,6 +596,144 @@
     }
   }
 
+  // Guards against an upload that goes on to a server whose answer is none, and
+  // against a caller that waits for the end of that answer.
+  TEST_CASE("an endless answer ends the upload that it comes amid") {
+    const std::string Body = selfDescribingBody();
+    struct Row {
+      const char *m_Name;
+      std::string m_First;
+      std::string m_Repeated;
+    };
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    for (const Row &Case :
+         {Row{"no HTTP", "hello ", "hello "},
+          Row{"a status line", "HTTP/1.1 200 ", "OK "},
+          Row{"a header line", Ok + "A: ", "xxxxxxxx"},
+          Row{"header lines", Ok, "A: xxxxx\r\n"},
+          Row{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+          Row{"a chunk extension", Ok + "Transfer-Encoding: chunked\r\n\r\n5;",
+              "a=xxxxx;"}}) {
+      for (bool Chunked : {false, true}) {
+        CAPTURE(Case.m_Name);
+        CAPTURE(Chunked);
+        Time Start = now();
+        UploadOutcome Got = runUpload(
+            [&](tcp::acceptor &Acceptor, UploadOutcome &Out) {
+              return endlessAnswerServer(Acceptor, Case.m_First,
+                                         Case.m_Repeated, Out);
+            },
+            Body, Chunked);
+        CHECK(Got.m_Answer.starts_with("HTTP/1.1 502"));
+        CHECK(Got.m_ServerDone);
+        CHECK(now() - Start < 2s);
+      }
+    }
+  }
+
+  // Guards against many connections that together exhaust the memory, though
+  // each keeps its own limit.
+  TEST_CASE("connections together buffer no more than the budget") {
+    constexpr int Connections = 200;
+    constexpr std::size_t BudgetBytes = 256U << 10U;
+    struct Row {
+      const char *m_Name;
+      std::size_t m_MaxBuffered;
+      const char *m_Expected; // Prefix of the answers.
+    };
+    for (const Row &Case :
+         {Row{"bodies are streamed", 64U << 10U, "HTTP/1.1 200"},
+          Row{"bodies are read whole",
+              HttpServerLimits{}.m_MaxBufferedBodyBytes, "HTTP/1.1 503"}}) {
+      CAPTURE(Case.m_Name);
+      HttpFixture Fixture;
+      HttpServerLimits Limits;
+      Limits.m_MaxBodyBytes = 1U << 20U;
+      Limits.m_MaxBufferedBodyBytes = Case.m_MaxBuffered;
+      Limits.m_Budget = std::make_shared<BufferBudget>(BudgetBytes);
+      Limits.m_ReadTimeout = 300ms;
+      HttpServer Server(Fixture.m_Io, Fixture.m_Reach, Limits,
+                        [](HttpRequest) -> asio::awaitable<HttpResponse> {
+                          co_await sleepFor(50ms);
+                          co_return jsonResponse(200, "{}");
+                        });
+      auto Port = Server.start("127.0.0.1", 0);
+      REQUIRE(Port);
+      std::vector<std::string> Answers(Connections);
+      int Ended = 0;
+      for (std::string &Answer : Answers)
+        asio::co_spawn(
+            Fixture.m_Io,
+            sendEndlessBody(Fixture.m_Io, Port.value(), 100000, Answer, Ended),
+            asio::detached);
+      std::size_t MostUsed = 0;
+      Fixture.run([](int &Count, BufferBudgetPtr Budget,
+                     std::size_t &Most) -> asio::awaitable<void> {
+        for (Time End = now() + 5s; Count < Connections && now() < End;) {
+          Most = std::max(Most, Budget->usedBytes());
+          co_await sleepFor(1ms);
+        }
+        co_await sleepFor(20ms);
+      }(Ended, Limits.m_Budget, MostUsed));
+      CHECK(MostUsed > BudgetBytes / 2);
+      CHECK(MostUsed <= BudgetBytes);
+      CHECK(Ended == Connections);
+      // Bodies in the buffers when the rest were refused get no answer: their
+      // callers send nothing for the time allowed.
+      auto Expected = std::count_if(
+          Answers.begin(), Answers.end(), [&](const std::string &Answer) {
+            return Answer.starts_with(Case.m_Expected);
+          });
+      CHECK(Expected >= Connections - 8);
+    }
+  }
+
+  TEST_CASE("responses together buffer no more than the budget") {
+    constexpr int Requests = 60;
+    constexpr std::size_t BudgetBytes = 256U << 10U;
+    HttpFixture Fixture;
+    HttpClientLimits Limits;
+    Limits.m_MaxBufferedBodyBytes = 64U << 10U;
+    Limits.m_Budget = std::make_shared<BufferBudget>(BudgetBytes);
+    HttpClient Client(Fixture.m_Io, Fixture.m_Reach, "127.0.0.1", Limits);
+    tcp::acceptor Acceptor(Fixture.m_Io,
+                           {asio::ip::make_address("127.0.0.1"), 0});
+    std::string Address =
+        "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    std::size_t Sent = 0;
+    int Streamed = 0;
+    std::size_t MostUsed = 0;
+    for (int I = 0; I < Requests; ++I) {
+      asio::co_spawn(Fixture.m_Io,
+                     endlessServer(Acceptor,
+                                   "HTTP/1.1 200 OK\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n",
+                                   "8\r\nxxxxxxxx\r\n", Sent),
+                     asio::detached);
+      asio::co_spawn(
+          Fixture.m_Io,
+          [](HttpClient &Sender, std::string To, BufferBudgetPtr Budget,
+             std::size_t &Most, int &Count) -> asio::awaitable<void> {
+            HttpRequest Request;
+            HttpResult Got = co_await Sender.send(To, Request, now() + 2s);
+            Most = std::max(Most, Budget->usedBytes());
+            Count += Got.m_Response.m_BodyStream ? 1 : 0;
+            co_await sleepFor(100ms); // Holds what has been buffered.
+          }(Client, Address, Limits.m_Budget, MostUsed, Streamed),
+          asio::detached);
+    }
+    Fixture.run(
+        [](int &Count, BufferBudgetPtr Budget) -> asio::awaitable<void> {
+          for (Time End = now() + 5s; Count < Requests && now() < End;)
+            co_await sleepFor(1ms);
+          co_await sleepFor(200ms);
+          CHECK(Budget->usedBytes() == 0);
+        }(Streamed, Limits.m_Budget));
+    CHECK(Streamed == Requests);
+    CHECK(MostUsed > BudgetBytes / 2);
+    CHECK(MostUsed <= BudgetBytes);
+  }
+
   TEST_CASE("endless requests are refused") {
     const std::string Chunked =
         "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -785,7 +963,11 @@
     };
     for (const UploadPlan &Plan : Plans) {
       CAPTURE(Plan.m_Name);
-      UploadOutcome Got = runUpload(Plan, Body);
+      UploadOutcome Got = runUpload(
+          [&](tcp::acceptor &Acceptor, UploadOutcome &Out) {
+            return earlyAnswerServer(Acceptor, Plan, Out);
+          },
+          Body, Plan.m_Chunked);
       auto Wrong = std::mismatch(Got.m_Uploaded.begin(), Got.m_Uploaded.end(),
                                  Body.begin(), Body.end());
       CHECK(Wrong.first - Got.m_Uploaded.begin() ==
--- a/test/StoreTest.cpp
+++ b/test/StoreTest.cpp
@@ -18,6 +18,7 @@
   int m_Status = 200;
   std::uint64_t m_Era = 0; // 0: the response names none.
   bool m_HasMore = false;
+  std::size_t m_ValueBytes = 0; // Of the item, in base64; a multiple of four.
 };
 
 // A store that answers the calls in the order in which they arrive.
@@ -25,6 +26,7 @@
   asio::io_context m_Io{1};
   Reachability m_Reach;
   std::vector<StoreAnswer> m_Answers;
+  StoreAnswer m_LaterAnswers; // Of the calls after these.
   std::size_t m_Calls = 0;
   HttpServer m_Server{m_Io, m_Reach, HttpServerLimits{},
                       [this](const HttpRequest &) { return answer(); }};
@@ -32,14 +34,15 @@
 
   asio::awaitable<HttpResponse> answer() {
     StoreAnswer Next =
-        m_Calls < m_Answers.size() ? m_Answers[m_Calls] : StoreAnswer{};
+        m_Calls < m_Answers.size() ? m_Answers[m_Calls] : m_LaterAnswers;
     ++m_Calls;
     co_await sleepFor(Next.m_Delay);
     HttpResponse Response = jsonResponse(
-        Next.m_Status,
-        R"({"items":[{"key":"k","value":"","revision":4}],"has_more":)" +
-            std::string(Next.m_HasMore ? "true" : "false") +
-            R"(,"store_revision":5,"lease":7})");
+        Next.m_Status, R"({"items":[{"key":"k","value":")" +
+                           std::string(Next.m_ValueBytes, 'A') +
+                           R"(","revision":4}],"has_more":)" +
+                           std::string(Next.m_HasMore ? "true" : "false") +
+                           R"(,"store_revision":5,"lease":7})");
     if (Next.m_Era > 0)
       Response.m_Headers.push_back({EraHeader, std::to_string(Next.m_Era)});
     if (Next.m_BodyDelay.count() > 0) {
@@ -59,6 +62,46 @@
 } // namespace
 
 TEST_SUITE("store") {
+  // Guards against a store whose answers have no end and exhaust the memory.
+  TEST_CASE("a range or a page that never ends is not taken") {
+    struct Row {
+      const char *m_Name;
+      StoreAnswer m_Answers;
+      StoreStatus m_Expected;
+      std::size_t m_MaxCalls;
+    };
+    for (const Row &Case : {Row{"one page",
+                                {0ms, 0ms, 200, 0, false, 1U << 20U},
+                                StoreStatus::Ok,
+                                1},
+                            Row{"pages without end",
+                                {0ms, 0ms, 200, 0, true, 1U << 20U},
+                                StoreStatus::Malformed,
+                                33},
+                            Row{"a page over its limit",
+                                {0ms, 0ms, 200, 0, false, 9U << 20U},
+                                StoreStatus::Lost,
+                                1}}) {
+      CAPTURE(Case.m_Name);
+      ScriptedStore Script;
+      Script.m_LaterAnswers = Case.m_Answers;
+      auto Port = Script.m_Server.start("127.0.0.1", 0);
+      REQUIRE(Port);
+      PlatformStore Store(Script.m_Io, Script.m_Counters, "127.0.0.1",
+                          "127.0.0.1:" + std::to_string(Port.value()));
+      StoreStatus Status = StoreStatus::Conflict;
+      auto Read = [&]() -> asio::awaitable<void> {
+        StoreResponse Response = co_await Store.readRange("op/");
+        Status = Response.m_Status;
+        Script.m_Io.stop();
+      };
+      spawn(Script.m_Io, Read());
+      Script.m_Io.run_for(std::chrono::seconds(20));
+      CHECK(storeStatusName(Status) == storeStatusName(Case.m_Expected));
+      CHECK(Script.m_Calls <= Case.m_MaxCalls);
+    }
+  }
+
   // A VM that started during an outage of the store waited for the timeout of
   // its reads, although the store already answered other calls.
   TEST_CASE("a read that the store has forgotten is sent again") {
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -25,6 +25,9 @@
 constexpr Duration BackendTcpUserTimeout = 700ms;
 constexpr std::size_t BufferedBodyBytes = 64U << 10U;
 constexpr std::size_t MaxBackendResponseBytes = 256U << 20U;
+// Share of the memory of the process that bodies may take. The rest is for
+// what each connection holds beside them, and for the state of the node.
+constexpr double BufferedMemoryShare = 0.25;
 // These factors leave a part of the retry budget unused. It covers windows in
 // which the shares of the VMs add up to more than the budget.
 constexpr double RetryRatioFactor = 0.6;
@@ -45,8 +48,9 @@
   return Limits;
 }
 
-HttpClientLimits backendLimits() {
+HttpClientLimits backendLimits(BufferBudgetPtr Budget) {
   HttpClientLimits Limits;
+  Limits.m_Budget = std::move(Budget);
   Limits.m_MaxBodyBytes = MaxBackendResponseBytes;
   Limits.m_MaxBufferedBodyBytes = BufferedBodyBytes;
   Limits.m_MaxIdleTime = BackendMaxIdleTime;
@@ -58,15 +62,17 @@
 
 // Every VM frames its responses, so that a lost connection never looks like the
 // end of one.
-HttpClientLimits detourLimits() {
-  HttpClientLimits Limits = backendLimits();
+HttpClientLimits detourLimits(BufferBudgetPtr Budget) {
+  HttpClientLimits Limits = backendLimits(std::move(Budget));
   Limits.m_AcceptCloseDelimited = false;
   return Limits;
 }
 
 HttpServerLimits callerLimits(const RequestLimits &Requested,
-                              std::size_t MaxConnections) {
+                              std::size_t MaxConnections,
+                              BufferBudgetPtr Budget) {
   HttpServerLimits Limits;
+  Limits.m_Budget = std::move(Budget);
   Limits.m_MaxHeaderBytes = Requested.m_MaxHeaderBytes;
   Limits.m_MaxBodyBytes = Requested.m_MaxBodyBytes;
   Limits.m_HeaderTimeout = Requested.m_HeaderTimeout;
@@ -77,33 +83,47 @@
   return Limits;
 }
 
+// For ports whose requests are read whole.
+HttpServerLimits withBudget(HttpServerLimits Limits, BufferBudgetPtr Budget) {
+  Limits.m_Budget = std::move(Budget);
+  return Limits;
+}
+
 } // namespace
 
 Node::Node(asio::io_context &Io, Metrics &Counters, NodeSettings Settings,
            HeaderNames Names)
     : m_Io(Io), m_Metrics(Counters), m_Settings(std::move(Settings)),
       m_HeaderNames(std::move(Names)),
-      m_BackendClient(Io, m_Reachability, m_Settings.m_Ip, backendLimits()),
+      m_BufferBudget(std::make_shared<BufferBudget>(static_cast<std::size_t>(
+          static_cast<double>(m_Settings.m_MemoryBytes) *
+          BufferedMemoryShare))),
+      m_BackendClient(Io, m_Reachability, m_Settings.m_Ip,
+                      backendLimits(m_BufferBudget)),
       m_PeerClient(Io, m_Reachability, m_Settings.m_Ip),
-      m_DetourClient(Io, m_Reachability, m_Settings.m_Ip, detourLimits()),
+      m_DetourClient(Io, m_Reachability, m_Settings.m_Ip,
+                     detourLimits(m_BufferBudget)),
       m_CallerServer(
           Io, m_Reachability,
-          callerLimits(RequestLimits{}, m_Settings.m_MaxConnections),
+          callerLimits(RequestLimits{}, m_Settings.m_MaxConnections,
+                       m_BufferBudget),
           [this](HttpRequest R) { return serveRequest(std::move(R)); }),
       m_DetourServer(
           Io, m_Reachability,
-          callerLimits(RequestLimits{}, m_Settings.m_MaxConnections),
+          callerLimits(RequestLimits{}, m_Settings.m_MaxConnections,
+                       m_BufferBudget),
           [this](HttpRequest R) { return serveDetour(std::move(R)); }),
       m_ReadyServer(
-          Io, m_Reachability, HttpServerLimits{},
+          Io, m_Reachability, withBudget(HttpServerLimits{}, m_BufferBudget),
           [this](HttpRequest R) { return serveReadiness(std::move(R)); }),
       m_LookupServer(
-          Io, m_Reachability, HttpServerLimits{},
+          Io, m_Reachability, withBudget(HttpServerLimits{}, m_BufferBudget),
           [this](HttpRequest R) { return serveLookup(std::move(R)); }),
-      m_PeerServer(Io, m_Reachability, controlServerLimits(),
+      m_PeerServer(Io, m_Reachability,
+                   withBudget(controlServerLimits(), m_BufferBudget),
                    [this](HttpRequest R) { return servePeer(std::move(R)); }),
       m_MetricsServer(
-          Io, m_Reachability, HttpServerLimits{},
+          Io, m_Reachability, withBudget(HttpServerLimits{}, m_BufferBudget),
           [this](HttpRequest R) { return serveMetrics(std::move(R)); }),
       m_Datagrams(Io, m_Reachability,
                   [this](const std::string &Text, const std::string &PeerIp) {
@@ -267,8 +287,8 @@
             {"routes", std::to_string(Next.m_Routes.size())}});
   m_Routes.apply(std::move(Next));
   m_ConfigDocument = std::move(Document);
-  HttpServerLimits Limits =
-      callerLimits(m_Routes.config().m_Limits, m_Settings.m_MaxConnections);
+  HttpServerLimits Limits = callerLimits(
+      m_Routes.config().m_Limits, m_Settings.m_MaxConnections, m_BufferBudget);
   m_CallerServer.setLimits(Limits);
   m_DetourServer.setLimits(Limits);
   m_AppliedListChanges = 0; // Pools of servers may have changed.
@@ -415,7 +435,8 @@
                              const BackendInfo &Server) const {
   if (Got.m_Failure == HttpFailure::Timeout)
     return HealthCheckResult::Late;
-  if (Got.m_Failure != HttpFailure::None)
+  if (Got.m_Failure != HttpFailure::None ||
+      Got.m_Response.m_BodyStream) // The response may have no end.
     return HealthCheckResult::Bad;
   std::string_view Id = Got.m_Response.header(m_HeaderNames.m_ServerId);
   if (Id != Server.m_Id)
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -67,6 +67,7 @@
   // the server tolerates. It is read from the settings, but not used.
   double m_MaxColdRateFactor = 1;
   std::size_t m_MaxConnections = 3000;
+  std::size_t m_MemoryBytes = 256U << 20U; // Memory limit of the process.
   DisabledMechanisms m_Disabled; // Used in experiments and emergencies.
 };
 
@@ -379,6 +380,7 @@
   HeaderNames m_HeaderNames;
   ControlPlaneHooks m_Hooks;
   Reachability m_Reachability;
+  BufferBudgetPtr m_BufferBudget; // For all bodies of requests and responses.
   HttpClient m_BackendClient;
   HttpClient m_PeerClient;
   HttpClient m_DetourClient;
--- a/tools/rhubarb-node/NodeLookup.cpp
+++ b/tools/rhubarb-node/NodeLookup.cpp
@@ -59,6 +59,8 @@
   m_Metrics.set("rhubarb_waiting_requests", {},
                 static_cast<double>(m_Dispatcher.queueLength()));
   m_Metrics.set("rhubarb_caller_connections", {}, m_CallerServer.connections());
+  m_Metrics.set("rhubarb_buffered_bytes", {},
+                static_cast<double>(m_BufferBudget->usedBytes()));
   m_Metrics.set("rhubarb_log_lines_dropped", {},
                 static_cast<double>(droppedLogLines()));
   std::map<std::string, double> Vms{{"live", 0}, {"silent", 0}, {"leaving", 0}};
