--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -83,7 +83,7 @@
   return Limits;
 }
 
-// For ports whose requests are read whole.
+// Returns limits with a budget, for ports whose requests are read whole.
 HttpServerLimits withBudget(HttpServerLimits Limits, BufferBudgetPtr Budget) {
   Limits.m_Budget = std::move(Budget);
   return Limits;
