Process tests: start a killed VM again once its processes have ended

Cause: kill_vm sends SIGKILL and returns; the steer process that was started at once could not listen (its log: "cannot listen on 127.68.1.2:9082: Address already in use"), as the killed one still had the port. So the VM never had the configuration, and rhubarbctl status ended with an error. Ruled out: TIME_WAIT (the port is bound with SO_REUSEADDR), another test's address (127.68 is this scenario's own, the soaks of that time used others). Change: kill_vm waits for the end, as a VM that starts again does. No check changed.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -142,9 +142,12 @@
 entry_vm_to_kill() { vm_ips | sed -n 2p; }
 backend_to_kill() { awk '$1 ~ /^backend-/ { print $1; exit }' "$pids_file"; }
 
+# Kills the processes of a VM. Returns once they have ended, as their ports are
+# taken until then.
 kill_vm() {
   local program
   for program in entry lookup steer; do kill -9 "$(pid_of "$program-$1")"; done
+  for program in entry lookup steer; do wait_end "$program" "$1"; done
 }
 # Sends a signal to one program of a VM; arguments: PROGRAM IP SIGNAL.
 signal() { kill "-$3" "$(pid_of "$1-$2")"; }
