--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -121,7 +121,7 @@
 HttpClient::HttpClient(asio::io_context &Io, const Reachability &Reach,
                        std::string BindIp, HttpClientLimits Limits)
     : m_Io(Io), m_Reachability(Reach), m_BindIp(std::move(BindIp)),
-      m_Limits(Limits) {}
+      m_Limits(std::move(Limits)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -133,7 +133,7 @@
 
 HttpServer::HttpServer(asio::io_context &Io, const Reachability &Reach,
                        HttpServerLimits Limits, HttpHandler Handler)
-    : m_Io(Io), m_Reachability(Reach), m_Limits(Limits),
+    : m_Io(Io), m_Reachability(Reach), m_Limits(std::move(Limits)),
       m_Handler(std::move(Handler)), m_Acceptor(Io) {}
 
 Result<std::uint16_t> HttpServer::start(const std::string &Ip,
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -119,7 +119,7 @@
 std::string rawExchange(HttpServerLimits Limits, const std::string &Text,
                         int &Handled) {
   HttpFixture Fixture;
-  HttpServer Server(Fixture.m_Io, Fixture.m_Reach, Limits,
+  HttpServer Server(Fixture.m_Io, Fixture.m_Reach, std::move(Limits),
                     [&](HttpRequest) -> asio::awaitable<HttpResponse> {
                       ++Handled;
                       co_return jsonResponse(200, "{}");
--- a/test/RestoreTest.cpp
+++ b/test/RestoreTest.cpp
@@ -434,7 +434,7 @@
         T.tick(Now, {2, Revision}, Told);
       };
     };
-    auto Read = [](std::map<std::string, StorePosition> Listed,
+    auto Read = [](const std::map<std::string, StorePosition> &Listed,
                    std::uint64_t Revision) {
       return [=](Table &T, StorePosition, Time Now) {
         T.replace(Listed, {2, Revision}, T.domains(), {2, 57}, 10s, Now);
