--- a/include/rhubarb/Routes.h
+++ b/include/rhubarb/Routes.h
@@ -2,6 +2,7 @@
 // pools of backend servers may run it.
 #pragma once
 
+#include "rhubarb/Organisations.h"
 #include "rhubarb/Types.h"
 
 #include <cstddef>
@@ -32,6 +33,7 @@
   int m_MaxAttempts = 1;
   // Servers are faster for objects that are warm there.
   bool m_Affinity = false;
+  bool m_Public = false;                     // Callers need no API key.
   std::vector<std::string> m_AllowedRegions; // Empty: every region is allowed.
   std::vector<RouteTarget> m_Targets;        // Never empty.
 };
@@ -61,6 +63,7 @@
   std::vector<PoolSettings> m_Pools;
   std::vector<Route> m_Routes;
   RequestLimits m_Limits;
+  std::vector<Organisation> m_Organisations; // Empty: callers need no key.
 
   // Returns the index of the pool with that name, or -1.
   int findPool(std::string_view Name) const;
