Organisations: API keys, priority and allowed regions of callers

Change: a request needs a known key where the configuration has organisations, unless its route is public. The key is removed, the name of its organisation goes to the server instead. Priority and regions of the organisation bind, on retries, in the queue and through another VM too. A configuration is checked whole and every error named, without a key. Route types other than safe, unsafe and upload, and attempts below 1, were taken silently before.

--- a/include/rhubarb/Errors.h
+++ b/include/rhubarb/Errors.h
@@ -59,6 +59,9 @@
   ServersRateLimited,
   CrashesServers,
   BuffersFull,
+  UnknownApiKey,
+  QuotaExceeded,
+  QuotaUnavailable,
   Count,
 };
 
--- a/lib/Errors.cpp
+++ b/lib/Errors.cpp
@@ -84,6 +84,12 @@
      "servers end when they run this request; do not repeat it as it is"},
     {ErrorKind::BuffersFull, "buffers_full", 503, Outcome::NotRun, true,
      "use another entry VM"},
+    {ErrorKind::UnknownApiKey, "unknown_api_key", 401, Outcome::NotRun, false,
+     "send Authorization: Bearer with a key of the configuration"},
+    {ErrorKind::QuotaExceeded, "quota_exceeded", 429, Outcome::NotRun, true,
+     "come back after Retry-After"},
+    {ErrorKind::QuotaUnavailable, "quota_unavailable", 503, Outcome::NotRun,
+     true, "use another entry VM"},
 }};
 
 constexpr std::array<std::string_view, 3> OutcomeNames{"answered", "not-run",
--- a/net/Crypto.cpp
+++ b/net/Crypto.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t SignatureBytes = 8;
+constexpr std::size_t DigestSecretWords = 4; // Of 64 bits each.
 constexpr char HexDigits[] = "0123456789abcdef";
 
 } // namespace
@@ -84,4 +85,20 @@
                        Expected.size()) == 0;
 }
 
+KeyedDigest::KeyedDigest() {
+  for (std::size_t I = 0; I < DigestSecretWords; ++I) {
+    std::uint64_t Bits = randomBits();
+    m_Secret.append(reinterpret_cast<const char *>(&Bits), sizeof(Bits));
+  }
+}
+
+std::string KeyedDigest::operator()(std::string_view Text) const {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned int Length = 0;
+  HMAC(EVP_sha256(), m_Secret.data(), static_cast<int>(m_Secret.size()),
+       reinterpret_cast<const unsigned char *>(Text.data()), Text.size(),
+       Digest.data(), &Length);
+  return {reinterpret_cast<const char *>(Digest.data()), Length};
+}
+
 } // namespace rhubarb::net
--- a/net/Crypto.h
+++ b/net/Crypto.h
@@ -32,4 +32,15 @@
   std::string m_Secret;
 };
 
+// Computes digests under a secret that is drawn when it is created
+// (HMAC-SHA-256, 32 bytes). Digests of different processes differ.
+class KeyedDigest {
+public:
+  KeyedDigest();
+  std::string operator()(std::string_view Text) const;
+
+private:
+  std::string m_Secret;
+};
+
 } // namespace rhubarb::net
--- a/net/Log.cpp
+++ b/net/Log.cpp
@@ -142,7 +142,8 @@
   appendField(Line, "program", Settings.m_Program);
   appendField(Line, "event", Event);
   for (const LogField &Field : Fields)
-    appendField(Line, Field.m_Key, Field.m_Value);
+    if (!Field.m_Key.empty())
+      appendField(Line, Field.m_Key, Field.m_Value);
   if (Rate->second.m_Suppressed > 0)
     appendField(Line, "left_out",
                 std::to_string(std::exchange(Rate->second.m_Suppressed, 0)));
--- a/net/Log.h
+++ b/net/Log.h
@@ -12,7 +12,7 @@
 enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
 
 struct LogField {
-  std::string_view m_Key;
+  std::string_view m_Key; // Empty: the field is left out.
   std::string m_Value;
 };
 
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -62,6 +62,12 @@
   return Text.replace(At, From.size(), To);
 }
 
+// Returns the valid configuration with a list of organisations.
+std::string withOrganisations(const std::string &Rows) {
+  return replaced(ValidConfig, R"("base_version")",
+                  "\"tenants\":[" + Rows + R"(],"base_version")");
+}
+
 Result<PlatformSettings> settingsFrom(const std::string &Text) {
   auto Lines = parseSettingLines(Text);
   if (!Lines)
@@ -184,6 +190,17 @@
         {"duration of the wrong type", R"("1200ms")", "1200"},
         {"negative attempts", R"("max_attempts":2)", R"("max_attempts":-2)"},
         {"no prefix", R"("prefix":"/a/",)", ""},
+        {"prefix without a slash", R"("prefix":"/a/")", R"("prefix":"/a")"},
+        {"no attempts", R"("max_attempts":2)", R"("max_attempts":0)"},
+        {"unknown route type", R"("route_type":"safe")",
+         R"("route_type":"often")"},
+        {"weight below 0", R"("weight":10)", R"("weight":-10)"},
+        {"two routes at one place", R"("prefix":"/b/")", R"("prefix":"/a/")"},
+        {"a service name used twice", R"({"name":"s2","health)",
+         R"({"name":"s1","health)"},
+        {"limit below 0", R"("max_body_bytes":67108864)",
+         R"("max_body_bytes":-1)"},
+        {"cold rate below 0", R"("cold_per_s":15.0)", R"("cold_per_s":-1)"},
     };
     for (const Row &Case : Rows) {
       CAPTURE(Case.m_Name);
@@ -194,6 +211,73 @@
     }
   }
 
+  TEST_CASE("organisations are parsed") {
+    auto Read = parseConfig(withOrganisations(
+        R"({"name":"o1","api_keys":["k1","k2"],"priority":0,"rate_per_s":959,
+            "burst":12.5,"allowed_regions":["a"],"new":1},
+           {"name":"o2","api_keys":[]})"));
+    REQUIRE(Read);
+    const std::vector<Organisation> &Rows = Read.value().m_Organisations;
+    REQUIRE(Rows.size() == 2);
+    CHECK(Rows[0].m_Name == "o1");
+    CHECK(Rows[0].m_ApiKeys == std::vector<std::string>{"k1", "k2"});
+    CHECK(Rows[0].m_Priority == 0);
+    CHECK(Rows[0].m_RatePerSecond == 959);
+    CHECK(Rows[0].m_Burst == 12.5);
+    CHECK(Rows[0].m_AllowedRegions == std::vector<std::string>{"a"});
+    CHECK_FALSE(Rows[1].m_Priority.has_value());
+    CHECK(Rows[1].m_RatePerSecond == 0);
+    CHECK_FALSE(Read.value().m_Routes[0].m_Public);
+    auto Public = parseConfig(replaced(ValidConfig, R"("max_attempts":2)",
+                                       R"("max_attempts":2,"public":true)"));
+    REQUIRE(Public);
+    CHECK(Public.value().m_Routes[0].m_Public);
+  }
+
+  // Guards against a configuration that is applied in part, and against errors
+  // that show a key to whoever reads the log.
+  TEST_CASE("invalid organisations are rejected without naming a key") {
+    struct Row {
+      const char *m_Name;
+      const char *m_Organisations;
+      std::vector<std::string> m_Named; // Texts that the error must contain.
+    };
+    const Row Rows[] = {
+        {"a key held twice",
+         R"({"name":"o1","api_keys":["secret"]},
+            {"name":"o2","api_keys":["secret"]})",
+         {"o1", "o2"}},
+        {"a name used twice",
+         R"({"name":"o1","api_keys":["secret"]},
+            {"name":"o1","api_keys":["secret2"]})",
+         {"o1"}},
+        {"an empty name", R"({"name":"","api_keys":["secret"]})", {"name"}},
+        {"an empty key", R"({"name":"o1","api_keys":["secret",""]})", {"o1"}},
+        {"keys that are no list",
+         R"({"name":"o1","api_keys":"secret"})",
+         {"o1"}},
+        {"a rate below 0",
+         R"({"name":"o1","api_keys":["secret"],"rate_per_s":-1})",
+         {"o1", "rate_per_s"}},
+        {"a burst below 0",
+         R"({"name":"o1","api_keys":["secret"],"burst":-1})",
+         {"o1", "burst"}},
+        {"two errors, both named",
+         R"({"name":"o1","api_keys":["secret"],"burst":-1},
+            {"name":"o2","api_keys":["secret"],"priority":-1})",
+         {"o1", "burst", "o2", "priority"}},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      auto Read = parseConfig(withOrganisations(Case.m_Organisations));
+      REQUIRE_FALSE(Read);
+      const std::string &Message = Read.error().m_Message;
+      for (const std::string &Name : Case.m_Named)
+        CHECK(Message.find(Name) != std::string::npos);
+      CHECK(Message.find("secret") == std::string::npos);
+    }
+  }
+
   TEST_CASE("a server entry is parsed; the cold time counts from receipt") {
     auto Read = parseServer("i-1", ValidServer, 100s);
     REQUIRE(Read);
--- a/tools/rhubarb-node/Headers.cpp
+++ b/tools/rhubarb-node/Headers.cpp
@@ -48,12 +48,16 @@
   return Kept;
 }
 
-void setField(std::vector<HeaderField> &Fields, const std::string &Name,
-              std::string Value) {
+void removeField(std::vector<HeaderField> &Fields, std::string_view Name) {
   std::string Wanted = lower(Name);
   std::erase_if(Fields, [&](const HeaderField &Field) {
     return lower(Field.m_Name) == Wanted;
   });
+}
+
+void setField(std::vector<HeaderField> &Fields, const std::string &Name,
+              std::string Value) {
+  removeField(Fields, Name);
   Fields.push_back({Name, std::move(Value)});
 }
 
--- a/tools/rhubarb-node/Headers.h
+++ b/tools/rhubarb-node/Headers.h
@@ -9,6 +9,12 @@
 
 namespace rhubarb::node {
 
+// Names the organisation of a request that another VM has authorised; empty: it
+// has none. Nodes set it when they pass a request on, and on no other request.
+inline constexpr const char *CheckedOrganisationHeader = "Rhubarb-Organisation";
+
+// Removes all fields of a name.
+void removeField(std::vector<HeaderField> &Fields, std::string_view Name);
 // Returns the text in lower case (ASCII).
 std::string lower(std::string_view Text);
 // Copies the end-to-end header fields: no hop-by-hop fields and none that a
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -1,6 +1,7 @@
 #include "Node.h"
 
 #include "net/Clock.h"
+#include "net/Crypto.h"
 #include "net/Daemon.h"
 #include "net/Log.h"
 #include "net/Text.h"
@@ -130,6 +131,7 @@
                     m_Rpc.handle(Text, PeerIp);
                   }),
       m_Random(stableHash(m_Settings.m_Ip)), m_TickTimer(Io),
+      m_Organisations(KeyedDigest()),
       m_Dispatcher(m_Settings.m_Region, limitsOf(m_Settings), {},
                    stableHash(m_Settings.m_Ip)),
       m_Members(m_Settings.m_Ip, m_Settings.m_Domain, memberLimits(m_Settings)),
@@ -285,6 +287,7 @@
            {{"revision", std::to_string(Next.m_Revision)},
             {"before", std::to_string(revision())},
             {"routes", std::to_string(Next.m_Routes.size())}});
+  m_Organisations.apply(std::move(Next.m_Organisations));
   m_Routes.apply(std::move(Next));
   m_ConfigDocument = std::move(Document);
   HttpServerLimits Limits = callerLimits(
@@ -292,6 +295,7 @@
   m_CallerServer.setLimits(Limits);
   m_DetourServer.setLimits(Limits);
   m_AppliedListChanges = 0; // Pools of servers may have changed.
+  refuseWithdrawnKeys();
   applyList();
 }
 
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -16,6 +16,7 @@
 #include "rhubarb/Dispatch.h"
 #include "rhubarb/Evacuations.h"
 #include "rhubarb/Members.h"
+#include "rhubarb/Organisations.h"
 #include "rhubarb/Readers.h"
 #include "rhubarb/Relays.h"
 #include "rhubarb/Retry.h"
@@ -88,6 +89,8 @@
   std::string m_Leaving; // Is "1" if the backend server is about to stop.
   // Requests per second that the server takes from all VMs together.
   std::string m_ServerLimit;
+  // Names the organisation whose key a request bears. Only nodes set it.
+  std::string m_Organisation;
   // Number of seconds during which the server wants no requests from this VM.
   std::string m_RetryAfter;
   std::string m_ColdMillis; // Appears in health check responses.
@@ -103,6 +106,13 @@
   // target, credentials and body.
   std::uint64_t m_Fingerprint = 0;
   bool m_Idempotent = false;
+  bool m_Public = false; // The route needs no API key.
+  int m_RoutePriority = 0;
+  std::vector<std::string> m_RouteRegions; // Empty: every region is allowed.
+  // Name of the organisation whose key the request bears; empty: none.
+  std::string m_Organisation;
+  // The VM that passed the request on has checked its key.
+  bool m_KeyChecked = false;
   // Another VM has passed the request on; it is not passed on again.
   bool m_Detoured = false;
   int m_MaxAttempts = 1;
@@ -241,6 +251,19 @@
   asio::awaitable<HttpResponse> serveRequest(HttpRequest Request);
   asio::awaitable<HttpResponse> serveExchange(ExchangePtr Work);
   asio::awaitable<HttpResponse> attemptUntilAnswered(ExchangePtr Work);
+
+  // --- Organisations and API keys (NodeOrganisations.cpp)
+  // Finds the organisation of a request, and the priority and regions that
+  // follow. Returns the refusal of a request without a valid key, or with no
+  // region that it may run in.
+  std::optional<HttpResponse> authorise(Exchange &Work);
+  // Whether the key of a request still belongs to the same organisation.
+  bool keepsOrganisation(const Exchange &Work) const;
+  // Ends the queued requests whose key the configuration no longer has.
+  void refuseWithdrawnKeys();
+  // Replaces the credentials of a request with the name of its organisation.
+  void setOrganisation(const Exchange &Work,
+                       std::vector<HeaderField> &Fields) const;
   asio::awaitable<void> dispatch(ExchangePtr Work);
   Duration retryAfterUntilReady();
   asio::awaitable<AttemptResult> runAttempt(ExchangePtr Work);
@@ -250,6 +273,8 @@
   // Keeps a request from servers at which other suspects run, so that a crash
   // tells which of them caused it.
   void excludeServersOfSuspects(Exchange &Work) const;
+  // Gives back the server that a request was assigned but not sent to.
+  void releaseServer(const Exchange &Work);
   // Returns the refusal of a request that may crash servers, if it must not be
   // sent now.
   std::optional<HttpResponse> refuseSuspect(Exchange &Work, bool Assigned);
@@ -396,6 +421,7 @@
   asio::steady_timer m_TickTimer;
 
   RouteTable m_Routes;
+  OrganisationTable m_Organisations;
   WeightedSplitter m_Splitter;
   ConfigDocument m_ConfigDocument;
   Dispatcher m_Dispatcher;
--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -44,6 +44,8 @@
   case ErrorKind::ServerRefused:
   case ErrorKind::ServersRateLimited:
   case ErrorKind::CrashesServers:
+  case ErrorKind::UnknownApiKey:
+  case ErrorKind::QuotaExceeded:
   case ErrorKind::CallerGone:
     return true;
   default:
@@ -60,9 +62,14 @@
   if (Attempts < 1)
     co_return errorResponse(ErrorKind::BadRequest);
   auto Work = std::make_shared<Exchange>();
-  std::erase_if(Request.m_Headers, [](const HeaderField &Field) {
-    return lower(Field.m_Name) == lower(DetourHeader);
-  });
+  removeField(Request.m_Headers, DetourHeader);
+  for (const HeaderField &Field : Request.m_Headers) {
+    if (lower(Field.m_Name) != lower(CheckedOrganisationHeader))
+      continue;
+    Work->m_KeyChecked = true;
+    Work->m_Organisation = Field.m_Value;
+  }
+  removeField(Request.m_Headers, CheckedOrganisationHeader);
   Work->m_Request = std::move(Request);
   Work->m_Detoured = true;
   Work->m_MaxAttempts = static_cast<int>(
@@ -110,6 +117,11 @@
            std::to_string(std::max<std::int64_t>(LeftMs, 1)));
   setField(Request.m_Headers, DetourHeader,
            std::to_string(Work->m_MaxAttempts - Work->m_DeliveredAttempts));
+  if (!m_Organisations.empty()) {
+    setOrganisation(*Work, Request.m_Headers);
+    setField(Request.m_Headers, CheckedOrganisationHeader,
+             Work->m_Organisation);
+  }
   Request.m_Body = Work->m_Request.m_Body;
   Request.m_BodyStream = Work->m_Request.m_BodyStream;
   SendOptions Options;
--- a/tools/rhubarb-node/NodeLookup.cpp
+++ b/tools/rhubarb-node/NodeLookup.cpp
@@ -49,6 +49,10 @@
                 static_cast<double>(m_Suspects.size()));
   m_Metrics.set("rhubarb_requests_convicted", {},
                 static_cast<double>(m_Suspects.convicted()));
+  m_Metrics.set("rhubarb_organisations", {},
+                static_cast<double>(m_Organisations.size()));
+  m_Metrics.set("rhubarb_api_keys", {},
+                static_cast<double>(m_Organisations.apiKeys()));
   if (m_List.knownAt().count() > 0) // A list was received, so it has an age.
     m_Metrics.set("rhubarb_list_age_seconds", {},
                   Seconds(now() - m_List.knownAt()));
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -123,6 +123,7 @@
 
 asio::awaitable<HttpResponse> Node::serveRequest(HttpRequest Request) {
   auto Work = std::make_shared<Exchange>();
+  removeField(Request.m_Headers, CheckedOrganisationHeader);
   Work->m_Request = std::move(Request);
   Work->m_MaxAttempts = std::numeric_limits<int>::max();
   return serveExchange(std::move(Work));
@@ -164,8 +165,11 @@
                            : Item.m_Deadline - Item.m_ArrivedAt;
   Item.m_ObjectiveAt = Item.m_ArrivedAt + Objective;
   Item.m_RouteName = Matched->m_Name;
-  Item.m_Priority = Matched->m_Priority;
-  Item.m_AllowedRegions = Matched->m_AllowedRegions;
+  Work->m_Public = Matched->m_Public;
+  Work->m_RoutePriority = Matched->m_Priority;
+  Work->m_RouteRegions = Matched->m_AllowedRegions;
+  if (std::optional<HttpResponse> Refusal = authorise(*Work))
+    co_return std::move(*Refusal);
   if (m_Leaving) {
     // Another VM can answer what would still be running at the end.
     if (!m_Dispatcher.endsBy(Item, stopTime(), Item.m_ArrivedAt))
@@ -216,6 +220,10 @@
       co_return std::move(*Refusal);
     if (m_Suspects.crashes(Work->m_Fingerprint) > 0)
       excludeServersOfSuspects(*Work);
+    // The key may have been withdrawn since the last attempt.
+    if (Last)
+      if (std::optional<HttpResponse> Refusal = authorise(*Work))
+        co_return std::move(*Refusal);
     int Pool = Work->m_Dispatch.m_Pool;
     if (m_Dispatcher.fleet().isCutOff(Pool) && mayDetour(*Work))
       if (std::optional<HttpResponse> Response = co_await detour(Work))
@@ -223,7 +231,8 @@
     co_await dispatch(Work);
     if (Work->m_Decision.m_Action == DispatchAction::Refuse) {
       ErrorKind Kind = Work->m_Decision.m_Error;
-      if (errorInfo(Kind).m_Outcome == Outcome::NotRun && mayDetour(*Work) &&
+      if (errorInfo(Kind).m_Outcome == Outcome::NotRun &&
+          Kind != ErrorKind::UnknownApiKey && mayDetour(*Work) &&
           m_Dispatcher.fleet().unreachableShare(Pool, now()) >
               MinUnreachableShare)
         if (std::optional<HttpResponse> Response = co_await detour(Work))
@@ -234,6 +243,11 @@
         Kind = Last ? Last->m_Error : ErrorKind::ServerCut;
       co_return makeRefusal(*Work, Kind, Work->m_Decision.m_RetryAfter);
     }
+    if (!keepsOrganisation(*Work)) {
+      releaseServer(*Work);
+      Work->m_Decision.m_Action = DispatchAction::Refuse;
+      co_return makeRefusal(*Work, ErrorKind::UnknownApiKey, Duration{0});
+    }
     if (std::optional<HttpResponse> Refusal = refuseSuspect(*Work, true))
       co_return std::move(*Refusal);
     AttemptResult Attempt = co_await runAttempt(Work);
@@ -265,18 +279,21 @@
       Work.m_Dispatch.m_TriedServers.push_back(Index);
 }
 
+void Node::releaseServer(const Exchange &Work) {
+  AttemptReport NotSent;
+  NotSent.m_Outcome = AttemptOutcome::Abandoned;
+  m_Dispatcher.finished(Work.m_Dispatch, Work.m_Decision, NotSent, now(),
+                        now());
+  processQueue();
+}
+
 // Decides again once a server is assigned, as the request may have been queued.
 std::optional<HttpResponse> Node::refuseSuspect(Exchange &Work, bool Assigned) {
   SuspectAction Action = m_Suspects.decide(Work.m_Fingerprint, now());
   if (Action == SuspectAction::Allow)
     return std::nullopt;
-  if (Assigned) {
-    AttemptReport NotSent;
-    NotSent.m_Outcome = AttemptOutcome::Abandoned;
-    m_Dispatcher.finished(Work.m_Dispatch, Work.m_Decision, NotSent, now(),
-                          now());
-    processQueue();
-  }
+  if (Assigned)
+    releaseServer(Work);
   Duration RetryAfter =
       Action == SuspectAction::Refuse ? ConvictedRetryAfter : SuspectRetryAfter;
   Work.m_Decision.m_Action = DispatchAction::Refuse;
@@ -399,6 +416,7 @@
   setField(Request.m_Headers, m_HeaderNames.m_Deadline,
            millisText(std::max(Left, Duration(1ms))));
   setField(Request.m_Headers, m_HeaderNames.m_ExpectServer, Server.m_Id);
+  setOrganisation(Work, Request.m_Headers);
   Request.m_Body = Work.m_Request.m_Body;
   Request.m_BodyStream = Work.m_Request.m_BodyStream;
   return Request;
@@ -730,6 +748,8 @@
              {{"id", Work.m_TraceId},
               {"route", Item.m_RouteName},
               {"rank", std::to_string(Item.m_Priority)},
+              {Work.m_Organisation.empty() ? "" : "organisation",
+               Work.m_Organisation},
               {"status", std::to_string(Status)},
               {"reason", std::string(Reason)},
               {"request", std::to_string(Work.m_Fingerprint)},
@@ -751,6 +771,7 @@
       {{"id", Work.m_TraceId},
        {"route", Item.m_RouteName},
        {"rank", std::to_string(Item.m_Priority)},
+       {Work.m_Organisation.empty() ? "" : "organisation", Work.m_Organisation},
        {"status", std::to_string(Status)},
        {"reason", std::string(Reason)},
        {"ms", millisText(Took)},
