Take no response with an impossible status for an answer

Cause: every status below 200 was read as an interim response, so a caller whose server answered 000, 101 or 199 waited for its timeout; statuses above 599 were passed on as answers. A status line without three digits was refused already.

Change: interim responses are 100, 102 and 103. Any other status below 200, and any above 599, ends the attempt at once as malformed: it may have run, is retried where that is allowed, and its connection is not used again. The client is the same for servers, other VMs, health checks and the store.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -90,6 +90,15 @@
   return serializeHead(Message);
 }
 
+// Interim responses that HTTP defines. 101 is none of them here, as no request
+// asks to switch protocols.
+bool isInterim(int Status) {
+  return Status == 100 || Status == 102 || Status == 103;
+}
+
+// Whether HTTP defines the class of a final status.
+bool isFinal(int Status) { return Status >= 200 && Status <= 599; }
+
 } // namespace
 
 std::string_view httpFailureName(HttpFailure Value) {
@@ -385,8 +394,9 @@
     Result.m_Response = HttpResponse{};
     Result.m_Response.m_Status = static_cast<int>(Parser.get().result_int());
     Result.m_Response.m_Headers = copyHeaders(Parser.get());
-    if (Result.m_Response.m_Status < 200) {
-      if (++Interim <= MaxInterimResponses)
+    int Status = Result.m_Response.m_Status;
+    if (!isFinal(Status)) {
+      if (isInterim(Status) && ++Interim <= MaxInterimResponses)
         continue;
       Result.m_Failure = HttpFailure::Malformed;
       co_return false;
