Run pipelined requests of a connection side by side

Cause: requests that a caller sent before the first response were served one after another.

Bodies wait for the requests before them. A disconnect cancels all of them, a response that closes the connection those behind it, and a planned stop answers what has been read. Without memory to spare requests are read one at a time. Elsewhere requests are served as before, by the same code, split into functions.

--- a/net/Http.h
+++ b/net/Http.h
@@ -178,6 +178,10 @@
   Duration m_HeaderTimeout = 10s;
   Duration m_ReadTimeout = 10s; // Maximum time for one read of a body.
   Duration m_WriteTimeout = 10s;
+  // Requests of one connection that may be in progress at once, those included
+  // whose response waits for its turn. Above 1, requests that a client sends
+  // before the response to an earlier one run side by side.
+  int m_MaxPipelinedRequests = 1;
   // Longer bodies are streamed to the handler, see HttpRequest::m_BodyStream.
   std::size_t m_MaxBufferedBodyBytes = std::numeric_limits<std::size_t>::max();
   // Shared by servers and clients. When it is used up, bodies are streamed
@@ -215,11 +219,26 @@
 private:
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
+  struct ReceivedRequest;
+  class Pipeline; // Serves a connection with several requests at once.
   asio::awaitable<void> acceptLoop();
   asio::awaitable<void> serveConnection(ConnectionPtr Client);
   asio::awaitable<bool> serveRequest(ConnectionPtr Client);
+  // Reads the start line and header of a request. Sets the error of one that
+  // cannot be read.
+  asio::awaitable<void> receiveHead(ConnectionPtr Client,
+                                    std::shared_ptr<ReceivedRequest> Into);
+  // Reads the body, up to the limit from which on it is streamed.
+  asio::awaitable<void> receiveBody(ConnectionPtr Client,
+                                    std::shared_ptr<ReceivedRequest> Into);
+  // Returns the refusal of a request that could not be read, or none if the
+  // request is complete or its client has disconnected.
+  std::optional<HttpResponse> refusalOf(const Connection &Client,
+                                        const ReceivedRequest &Received) const;
   asio::awaitable<HttpResponse> handle(ConnectionPtr Client,
                                        HttpRequest Request);
+  // Runs the handler. The caller watches for a disconnect.
+  asio::awaitable<HttpResponse> runHandler(HttpRequest Request);
   asio::awaitable<bool> respond(ConnectionPtr Client, HttpResponse Response,
                                 bool KeepAlive, bool IsHead,
                                 BodyStreamPtr RequestBody = nullptr);
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -131,6 +131,239 @@
   bool m_OverLimit = false;
 };
 
+// A request, and why it could not be read.
+struct HttpServer::ReceivedRequest {
+  std::shared_ptr<RequestParser> m_Parser;
+  boost::system::error_code m_Error;
+  bool m_BuffersFull = false;
+  HttpRequest m_Request;
+  std::optional<BufferedBytes> m_Buffered; // Counts the request's body.
+};
+
+// Serves one connection whose client sends further requests before the first
+// response. Requests without a body run side by side; responses are written in
+// the order of their requests.
+class HttpServer::Pipeline
+    : public std::enable_shared_from_this<HttpServer::Pipeline> {
+public:
+  Pipeline(HttpServer &Server, ConnectionPtr Client)
+      : m_Server(Server), m_Client(std::move(Client)),
+        m_Changed(Server.m_Io, asio::steady_timer::time_point::max()) {}
+  // Returns when the connection is to be closed and no coroutine uses it.
+  asio::awaitable<void> run();
+
+private:
+  // A request in progress.
+  struct Entry {
+    std::shared_ptr<ReceivedRequest> m_Received;
+    std::shared_ptr<ClientConnection> m_State;
+    BodyStreamPtr m_RequestBody;
+    HttpResponse m_Response;
+    bool m_IsDone = false;
+  };
+  using EntryPtr = std::shared_ptr<Entry>;
+
+  asio::awaitable<void> readRequests();
+  asio::awaitable<bool> readOneRequest();
+  asio::awaitable<void> handleEntry(EntryPtr Item);
+  asio::awaitable<bool> writeResponse(EntryPtr Item);
+  asio::awaitable<void> waitForChange();
+  void notify() { m_Changed.cancel(); }
+  bool mayReadNext() const;
+  void stopReading();
+  // Cancels all requests: their client has disconnected, or their responses
+  // cannot be sent any more.
+  void cancelRequests();
+
+  HttpServer &m_Server;
+  ConnectionPtr m_Client;
+  std::deque<EntryPtr> m_Entries; // In the order of their requests.
+  bool m_StopReading = false;
+  bool m_IsReading = true;     // readRequests() is running.
+  bool m_ReadsSocket = false;  // It waits for bytes of the client.
+  bool m_ReadsRequest = false; // It has a part of a request.
+  bool m_ClientGone = false;
+  asio::steady_timer m_Changed; // Cancelled at each change of state.
+};
+
+asio::awaitable<void> HttpServer::Pipeline::waitForChange() {
+  co_await m_Changed.async_wait(Await);
+}
+
+asio::awaitable<void> HttpServer::Pipeline::run() {
+  asio::co_spawn(
+      m_Server.m_Io,
+      [](std::shared_ptr<Pipeline> Self) -> asio::awaitable<void> {
+        co_await Self->readRequests();
+      }(shared_from_this()),
+      asio::detached);
+  for (;;) {
+    while (m_IsReading && (m_Entries.empty() || !m_Entries.front()->m_IsDone))
+      co_await waitForChange();
+    if (m_Entries.empty() || m_ClientGone)
+      break;
+    if (!m_Entries.front()->m_IsDone) {
+      co_await waitForChange();
+      continue;
+    }
+    EntryPtr Item = m_Entries.front();
+    bool Reusable = co_await writeResponse(Item);
+    m_Entries.pop_front();
+    m_Client->m_RequestInProgress = !m_Entries.empty() || m_ReadsRequest;
+    if (!Reusable)
+      break;
+    notify(); // There is room for another request.
+  }
+  cancelRequests();
+  stopReading();
+  while (m_IsReading)
+    co_await waitForChange();
+}
+
+// A planned stop closes the connection after the last request in progress, as
+// servers may be running the ones behind the first.
+asio::awaitable<bool> HttpServer::Pipeline::writeResponse(EntryPtr Item) {
+  if (!m_Server.m_Reachability.allows(m_Client->m_PeerIp))
+    co_return false;
+  const RequestParser &Parser = *Item->m_Received->m_Parser;
+  bool HasWholeBody = !Item->m_Received->m_Error && Parser.is_done();
+  bool Closes = !HasWholeBody || !Parser.keep_alive() ||
+                Item->m_Response.m_CloseConnection;
+  bool Stopping = m_Server.m_Stopping || m_Server.m_KeepAliveDisabled;
+  if (Stopping || Closes)
+    stopReading();
+  while ((Stopping || Closes) && m_IsReading)
+    co_await waitForChange();
+  bool IsLast = m_Entries.size() == 1;
+  bool KeepAlive = !Closes && !(Stopping && IsLast);
+  // The client may still be sending the body, which requires a lingering close.
+  if (!HasWholeBody)
+    Item->m_Response.m_CloseConnection = true;
+  bool IsHead = Parser.get().method() == http::verb::head;
+  co_return co_await m_Server.respond(m_Client, std::move(Item->m_Response),
+                                      KeepAlive, IsHead, Item->m_RequestBody);
+}
+
+void HttpServer::Pipeline::stopReading() {
+  if (!std::exchange(m_StopReading, true) && m_ReadsSocket)
+    m_Client->m_Stream.cancel();
+  notify();
+}
+
+void HttpServer::Pipeline::cancelRequests() {
+  for (const EntryPtr &Item : m_Entries) {
+    if (Item->m_IsDone || !Item->m_State || Item->m_State->m_Closed)
+      continue;
+    Item->m_State->m_Closed = true;
+    if (Item->m_State->m_OnClose)
+      Item->m_State->m_OnClose();
+  }
+}
+
+// Responses that wait for their turn take memory until the client reads.
+bool HttpServer::Pipeline::mayReadNext() const {
+  if (m_Entries.empty())
+    return true;
+  const BufferBudgetPtr &Budget = m_Server.m_Limits.m_Budget;
+  auto Most =
+      static_cast<std::size_t>(m_Server.m_Limits.m_MaxPipelinedRequests);
+  return m_Entries.size() < Most && !m_Entries.back()->m_RequestBody &&
+         (!Budget || Budget->leftBytes() > MaxUnparsedBytes);
+}
+
+asio::awaitable<void> HttpServer::Pipeline::readRequests() {
+  bool GoesOn = true;
+  while (GoesOn && !m_StopReading && !m_Server.m_Stopping)
+    GoesOn = co_await readOneRequest();
+  m_IsReading = false;
+  notify();
+}
+
+// Returns whether to go on reading.
+asio::awaitable<bool> HttpServer::Pipeline::readOneRequest() {
+  while (!m_StopReading && !mayReadNext())
+    co_await waitForChange();
+  beast::tcp_stream &Stream = m_Client->m_Stream;
+  if (!m_StopReading && m_Client->m_Buffer.size() == 0) {
+    if (m_Entries.empty())
+      Stream.expires_after(m_Server.m_Limits.m_IdleTimeout);
+    else
+      Stream.expires_never();
+    m_ReadsSocket = true;
+    auto [Error, Bytes] = co_await Stream.async_read_some(
+        m_Client->m_Buffer.prepare(ReadAheadBytes), Await);
+    m_ReadsSocket = false;
+    if (Error && !m_StopReading) {
+      m_ClientGone = true;
+      cancelRequests();
+    }
+    if (Error)
+      co_return false;
+    m_Client->m_Buffer.commit(Bytes);
+  }
+  if (m_StopReading)
+    co_return false;
+  m_Client->m_RequestInProgress = true;
+  m_ReadsRequest = true;
+  auto Received = std::make_shared<ReceivedRequest>();
+  m_ReadsSocket = true;
+  co_await m_Server.receiveHead(m_Client, Received);
+  m_ReadsSocket = false;
+  bool Disconnected = Received->m_Error && !m_StopReading &&
+                      readErrorKind(Received->m_Error) == ErrorKind::None;
+  if (Disconnected) {
+    m_ClientGone = true;
+    cancelRequests();
+  }
+  if (Disconnected || (Received->m_Error && m_StopReading) ||
+      !m_Server.m_Reachability.allows(m_Client->m_PeerIp))
+    co_return false;
+  bool HasBody = !Received->m_Error && !Received->m_Parser->is_done();
+  while (HasBody && !m_Entries.empty() && !m_StopReading)
+    co_await waitForChange();
+  if (m_StopReading)
+    co_return false;
+  co_await m_Server.receiveBody(m_Client, Received);
+  auto Item = std::make_shared<Entry>();
+  Item->m_Received = Received;
+  if (Received->m_Error || m_Client->m_OverLimit || Received->m_BuffersFull) {
+    std::optional<HttpResponse> Refusal =
+        m_Server.refusalOf(*m_Client, *Received);
+    if (!Refusal)
+      co_return false;
+    Item->m_Response = std::move(*Refusal);
+    Item->m_IsDone = true;
+    m_Entries.push_back(std::move(Item));
+    co_return false;
+  }
+  Item->m_State = Received->m_Request.m_Client;
+  Item->m_RequestBody = Received->m_Request.m_BodyStream;
+  m_Entries.push_back(Item);
+  m_ReadsRequest = false;
+  asio::co_spawn(
+      m_Server.m_Io,
+      [](std::shared_ptr<Pipeline> Self,
+         EntryPtr Started) -> asio::awaitable<void> {
+        co_await Self->handleEntry(std::move(Started));
+      }(shared_from_this(), Item),
+      asio::detached);
+  // A body is read by its handler; the next request comes after it.
+  while (HasBody && !m_Entries.empty() && !m_StopReading)
+    co_await waitForChange();
+  co_return !m_StopReading;
+}
+
+asio::awaitable<void> HttpServer::Pipeline::handleEntry(EntryPtr Item) {
+  HttpRequest Request = std::move(Item->m_Received->m_Request);
+  bool HasBody = Item->m_RequestBody != nullptr || !Request.m_Body.empty();
+  if (HasBody)
+    Item->m_Response = co_await m_Server.handle(m_Client, std::move(Request));
+  else
+    Item->m_Response = co_await m_Server.runHandler(std::move(Request));
+  Item->m_IsDone = true;
+  notify();
+}
+
 HttpServer::HttpServer(asio::io_context &Io, const Reachability &Reach,
                        HttpServerLimits Limits, HttpHandler Handler)
     : m_Io(Io), m_Reachability(Reach), m_Limits(std::move(Limits)),
@@ -201,7 +434,11 @@
       ConnectionsFromIp >= m_Limits.m_MaxConnectionsPerIp;
   ++ConnectionsFromIp;
   m_Connections.insert(Client);
-  while (!m_Stopping) {
+  if (m_Limits.m_MaxPipelinedRequests > 1) {
+    auto Requests = std::make_shared<Pipeline>(*this, Client);
+    co_await Requests->run();
+  }
+  while (!m_Stopping && m_Limits.m_MaxPipelinedRequests <= 1) {
     bool KeepAlive = co_await serveRequest(Client);
     if (!KeepAlive)
       break;
@@ -215,6 +452,94 @@
     m_ConnectionsPerIp.erase(Count);
 }
 
+asio::awaitable<void>
+HttpServer::receiveHead(ConnectionPtr Client,
+                        std::shared_ptr<ReceivedRequest> Into) {
+  beast::tcp_stream &Stream = Client->m_Stream;
+  Into->m_Parser = std::make_shared<RequestParser>();
+  RequestParser &Parser = *Into->m_Parser;
+  Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_MaxHeaderBytes));
+  Parser.body_limit(m_Limits.m_MaxBodyBytes);
+  Stream.expires_after(m_Limits.m_HeaderTimeout);
+  auto [Error, Bytes] =
+      co_await http::async_read_header(Stream, Client->m_Buffer, Parser, Await);
+  Into->m_Error = Error;
+}
+
+asio::awaitable<void>
+HttpServer::receiveBody(ConnectionPtr Client,
+                        std::shared_ptr<ReceivedRequest> Into) {
+  beast::tcp_stream &Stream = Client->m_Stream;
+  RequestParser &Parser = *Into->m_Parser;
+  boost::system::error_code &Error = Into->m_Error;
+  if (!Error && !Parser.is_done() &&
+      beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
+    http::response<http::empty_body> Continue{http::status::continue_, 11};
+    auto [WriteError, Written] =
+        co_await http::async_write(Stream, Continue, Await);
+    Error = WriteError;
+  }
+  std::string Body;
+  BufferedBytes &Buffered = Into->m_Buffered.emplace(m_Limits.m_Budget);
+  while (!Error && !Parser.is_done() &&
+         Body.size() < m_Limits.m_MaxBufferedBodyBytes &&
+         Buffered.reserve(capacityForRead(Body))) {
+    Stream.expires_after(m_Limits.m_ReadTimeout);
+    Error = co_await readBodyFragment(Stream, Client->m_Buffer, Parser, Body);
+    Buffered.set(Body.capacity());
+  }
+  bool Streams =
+      m_Limits.m_MaxBufferedBodyBytes < std::numeric_limits<std::size_t>::max();
+  Into->m_BuffersFull = !Error && !Parser.is_done() && !Streams;
+  if (Error || Into->m_BuffersFull)
+    co_return;
+  HttpRequest &Request = Into->m_Request;
+  Request = toHttpRequest(Parser, Client->m_PeerIp);
+  Request.m_Body = std::move(Body);
+  Request.m_Client = std::make_shared<ClientConnection>();
+  if (Parser.is_done())
+    co_return;
+  Request.m_BodyStream = std::make_shared<BodyStream>();
+  if (auto Length = Parser.content_length())
+    Request.m_BodyStream->m_ContentLength = *Length;
+  Request.m_BodyStream->m_ReadNext =
+      [this, Client, Held = Into->m_Parser,
+       State = Request.m_Client]() -> asio::awaitable<BodyFragment> {
+    BodyFragment Fragment;
+    Client->m_Stream.expires_after(m_Limits.m_ReadTimeout);
+    auto ReadError = co_await readBodyFragment(
+        Client->m_Stream, Client->m_Buffer, *Held, Fragment.m_Bytes);
+    Client->m_Stream.expires_never();
+    Fragment.m_Aborted = bool(ReadError);
+    Fragment.m_Last = Held->is_done();
+    if (Fragment.m_Aborted && !State->m_Closed) {
+      State->m_Closed = true;
+      if (State->m_OnClose)
+        State->m_OnClose();
+    } else if (Fragment.m_Last) {
+      watchForClose(Client->m_Stream.socket(), State, Client);
+    }
+    co_return Fragment;
+  };
+}
+
+std::optional<HttpResponse>
+HttpServer::refusalOf(const Connection &Client,
+                      const ReceivedRequest &Received) const {
+  ErrorKind Kind = readErrorKind(Received.m_Error);
+  if (Received.m_BuffersFull)
+    Kind = ErrorKind::BuffersFull;
+  if (Client.m_OverLimit)
+    Kind = ErrorKind::TooManyConnections;
+  if (Kind == ErrorKind::None)
+    return std::nullopt;
+  reportRefusal(Kind);
+  HttpResponse Refusal = errorResponse(
+      Kind, Received.m_Error ? Received.m_Error.message() : std::string());
+  Refusal.m_CloseConnection = true;
+  return Refusal;
+}
+
 // Reads one request, handles it and writes its response. Returns whether the
 // connection can be reused.
 asio::awaitable<bool> HttpServer::serveRequest(ConnectionPtr Client) {
@@ -229,81 +554,26 @@
   }
   // From here on, stopAccepting() lets the request finish.
   Client->m_RequestInProgress = true;
-  auto Parser = std::make_shared<RequestParser>();
-  Parser->header_limit(static_cast<std::uint32_t>(m_Limits.m_MaxHeaderBytes));
-  Parser->body_limit(m_Limits.m_MaxBodyBytes);
-  Stream.expires_after(m_Limits.m_HeaderTimeout);
-  auto [Error, Bytes] = co_await http::async_read_header(
-      Stream, Client->m_Buffer, *Parser, Await);
+  auto Received = std::make_shared<ReceivedRequest>();
+  co_await receiveHead(Client, Received);
   // Clients behind a simulated partition get no response.
   if (!m_Reachability.allows(Client->m_PeerIp))
     co_return false;
-  if (!Error && !Parser->is_done() &&
-      beast::iequals(Parser->get()[http::field::expect], "100-continue")) {
-    http::response<http::empty_body> Continue{http::status::continue_, 11};
-    auto [WriteError, Written] =
-        co_await http::async_write(Stream, Continue, Await);
-    Error = WriteError;
-  }
-  std::string Body;
-  BufferedBytes Buffered(m_Limits.m_Budget);
-  while (!Error && !Parser->is_done() &&
-         Body.size() < m_Limits.m_MaxBufferedBodyBytes &&
-         Buffered.reserve(capacityForRead(Body))) {
-    Stream.expires_after(m_Limits.m_ReadTimeout);
-    Error = co_await readBodyFragment(Stream, Client->m_Buffer, *Parser, Body);
-    Buffered.set(Body.capacity());
-  }
-  bool Streams =
-      m_Limits.m_MaxBufferedBodyBytes < std::numeric_limits<std::size_t>::max();
-  bool BuffersFull = !Error && !Parser->is_done() && !Streams;
-  if (Error || Client->m_OverLimit || BuffersFull) {
-    ErrorKind Kind = readErrorKind(Error);
-    if (BuffersFull)
-      Kind = ErrorKind::BuffersFull;
-    if (Client->m_OverLimit)
-      Kind = ErrorKind::TooManyConnections;
-    if (Kind == ErrorKind::None)
+  co_await receiveBody(Client, Received);
+  if (Received->m_Error || Client->m_OverLimit || Received->m_BuffersFull) {
+    std::optional<HttpResponse> Refusal = refusalOf(*Client, *Received);
+    if (!Refusal)
       co_return false;
-    reportRefusal(Kind);
-    HttpResponse Refusal =
-        errorResponse(Kind, Error ? Error.message() : std::string());
-    Refusal.m_CloseConnection = true;
-    bool Ignored = co_await respond(Client, std::move(Refusal), false, false);
+    bool Ignored = co_await respond(Client, std::move(*Refusal), false, false);
     // The connection is closed whatever respond() returns.
     co_return Ignored && false;
   }
-  HttpRequest Request = toHttpRequest(*Parser, Client->m_PeerIp);
-  Request.m_Body = std::move(Body);
-  Request.m_Client = std::make_shared<ClientConnection>();
-  if (!Parser->is_done()) {
-    Request.m_BodyStream = std::make_shared<BodyStream>();
-    if (auto Length = Parser->content_length())
-      Request.m_BodyStream->m_ContentLength = *Length;
-    Request.m_BodyStream->m_ReadNext =
-        [this, Client, Parser,
-         State = Request.m_Client]() -> asio::awaitable<BodyFragment> {
-      BodyFragment Fragment;
-      Client->m_Stream.expires_after(m_Limits.m_ReadTimeout);
-      auto ReadError = co_await readBodyFragment(
-          Client->m_Stream, Client->m_Buffer, *Parser, Fragment.m_Bytes);
-      Client->m_Stream.expires_never();
-      Fragment.m_Aborted = bool(ReadError);
-      Fragment.m_Last = Parser->is_done();
-      if (Fragment.m_Aborted && !State->m_Closed) {
-        State->m_Closed = true;
-        if (State->m_OnClose)
-          State->m_OnClose();
-      } else if (Fragment.m_Last) {
-        watchForClose(Client->m_Stream.socket(), State, Client);
-      }
-      co_return Fragment;
-    };
-  }
+  std::shared_ptr<RequestParser> Parser = Received->m_Parser;
   bool IsHead = Parser->get().method() == http::verb::head;
   bool KeepAlive = Parser->get().keep_alive();
-  BodyStreamPtr RequestBody = Request.m_BodyStream;
-  HttpResponse Response = co_await handle(Client, std::move(Request));
+  BodyStreamPtr RequestBody = Received->m_Request.m_BodyStream;
+  HttpResponse Response =
+      co_await handle(Client, std::move(Received->m_Request));
   // The partition may have begun while the request was handled.
   if (!m_Reachability.allows(Client->m_PeerIp))
     co_return false;
@@ -319,23 +589,28 @@
 // Runs the handler while watching for the client to disconnect.
 asio::awaitable<HttpResponse> HttpServer::handle(ConnectionPtr Client,
                                                  HttpRequest Request) {
-  HttpResponse Response;
   Client->m_Stream.expires_never();
-  ++m_ActiveRequests;
   if (!Request.m_BodyStream) {
     // A process that was starved of CPU may read requests long after their
     // clients have disconnected.
     checkForClose(Client->m_Stream.socket(), *Request.m_Client);
     watchForClose(Client->m_Stream.socket(), Request.m_Client, Client);
   }
+  HttpResponse Response = co_await runHandler(std::move(Request));
+  boost::system::error_code Ignored;
+  Client->m_Stream.socket().cancel(Ignored); // Stops watching for a disconnect.
+  co_return Response;
+}
+
+asio::awaitable<HttpResponse> HttpServer::runHandler(HttpRequest Request) {
+  HttpResponse Response;
+  ++m_ActiveRequests;
   try {
     Response = co_await m_Handler(std::move(Request));
   } catch (const std::exception &Exception) {
     Response = errorResponse(ErrorKind::Internal, Exception.what());
   }
   --m_ActiveRequests;
-  boost::system::error_code Ignored;
-  Client->m_Stream.socket().cancel(Ignored); // Stops watching for a disconnect.
   co_return Response;
 }
 
--- /dev/null
+++ b/test/HttpPipelineTest.cpp
@@ -0,0 +1,241 @@
+// Requests that a client sends before the response to an earlier one: they run
+// side by side, and responses keep their order.
+#include "net/Clock.h"
+#include "net/Daemon.h"
+#include "net/HttpBody.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarb;
+using namespace rhubarb::net;
+using asio::ip::tcp;
+
+namespace {
+
+// What the handler has seen. A request's target names how long it takes:
+// /MILLISECONDS/LABEL.
+struct Observed {
+  std::vector<std::string> m_Started;
+  std::vector<std::string> m_Ended;
+  std::vector<std::string> m_Closed; // The client was gone.
+  int m_Running = 0;
+  int m_MostRunning = 0;
+};
+
+asio::awaitable<HttpResponse> handleTimed(HttpRequest Request, Observed &Seen) {
+  std::string Target = Request.m_Target;
+  std::string Label = Target.substr(Target.rfind('/') + 1);
+  Seen.m_Started.push_back(Label);
+  Seen.m_MostRunning = std::max(Seen.m_MostRunning, ++Seen.m_Running);
+  std::shared_ptr<ClientConnection> Client = Request.m_Client;
+  Client->m_OnClose = [&Seen, Label] { Seen.m_Closed.push_back(Label); };
+  co_await sleepFor(std::chrono::milliseconds(std::stoi(Target.substr(1))));
+  Client->m_OnClose = nullptr;
+  --Seen.m_Running;
+  Seen.m_Ended.push_back(Label);
+  HttpResponse Response{200, {}, Label + ";"};
+  Response.m_CloseConnection = Label == "close";
+  co_return Response;
+}
+
+std::string get(const std::string &Target) {
+  return "GET " + Target + " HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
+struct Exchanged {
+  std::string m_Received;
+  Duration m_Took{0};
+};
+
+// Sends texts with pauses between them and reads until the server closes the
+// connection, or until a time after which this client closes it.
+asio::awaitable<void> exchange(asio::io_context &Io, std::uint16_t Port,
+                               std::vector<std::string> Texts, Duration Pause,
+                               Duration CloseAfter, Exchanged &Out) {
+  Time Began = now();
+  beast::tcp_stream Stream(Io);
+  auto [Refused] = co_await Stream.async_connect(
+      tcp::endpoint(asio::ip::make_address("127.0.0.1"), Port), Await);
+  CHECK_FALSE(Refused);
+  for (const std::string &Text : Texts) {
+    co_await asio::async_write(Stream, asio::buffer(Text), Await);
+    co_await sleepFor(Pause);
+  }
+  char Buffer[4096];
+  for (;;) {
+    Stream.expires_after(std::max<Duration>(1ms, Began + CloseAfter - now()));
+    auto [Error, Bytes] =
+        co_await Stream.async_read_some(asio::buffer(Buffer), Await);
+    Out.m_Received.append(Buffer, Bytes);
+    if (Error)
+      break;
+  }
+  Out.m_Took = now() - Began;
+  Stream.close();
+  co_await sleepFor(100ms); // The server notices the close.
+}
+
+struct PipelineFixture {
+  asio::io_context m_Io{1};
+  Reachability m_Reach;
+  Observed m_Seen;
+  HttpServer m_Server;
+  std::uint16_t m_Port = 0;
+
+  explicit PipelineFixture(int Depth, BufferBudgetPtr Budget = nullptr)
+      : m_Server(m_Io, m_Reach, limits(Depth, std::move(Budget)),
+                 [this](HttpRequest Request) {
+                   return handleTimed(std::move(Request), m_Seen);
+                 }) {
+    auto Started = m_Server.start("127.0.0.1", 0);
+    REQUIRE(Started);
+    m_Port = Started.value();
+  }
+  static HttpServerLimits limits(int Depth, BufferBudgetPtr Budget) {
+    HttpServerLimits Limits;
+    Limits.m_MaxPipelinedRequests = Depth;
+    Limits.m_Budget = std::move(Budget);
+    return Limits;
+  }
+  Exchanged run(std::vector<std::string> Texts, Duration CloseAfter,
+                Duration Pause = 0ms, std::function<void()> After = {},
+                Duration AfterTime = 0ms) {
+    Exchanged Out;
+    if (After)
+      asio::co_spawn(
+          m_Io,
+          [](std::function<void()> Call, Duration At) -> asio::awaitable<void> {
+            co_await sleepFor(At);
+            Call();
+          }(After, AfterTime),
+          asio::detached);
+    asio::co_spawn(
+        m_Io, exchange(m_Io, m_Port, std::move(Texts), Pause, CloseAfter, Out),
+        [this](const std::exception_ptr &) { m_Io.stop(); });
+    m_Io.restart();
+    m_Io.run();
+    return Out;
+  }
+};
+
+// Returns the bodies of the responses received, each of which ends with ";".
+std::string bodies(const std::string &Received) {
+  std::string Found;
+  for (std::size_t At = Received.find("\r\n\r\n"); At != std::string::npos;
+       At = Received.find("\r\n\r\n", At + 4)) {
+    std::size_t End = Received.find(';', At);
+    if (End != std::string::npos)
+      Found += Received.substr(At + 4, End + 1 - At - 4);
+  }
+  return Found;
+}
+
+const std::string Upload =
+    "POST /50/post HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+
+} // namespace
+
+TEST_SUITE("http_pipeline") {
+  // Guards against responses in the order in which they are ready, and against
+  // a slow request that holds up the ones behind it.
+  TEST_CASE("pipelined requests run side by side and are answered in order") {
+    struct Row {
+      const char *m_Name;
+      int m_Depth;
+      std::vector<std::string> m_Texts;
+      int m_MostRunning;
+      const char *m_Bodies;
+    };
+    const std::string Three = get("/300/a") + get("/10/b") + get("/100/close");
+    const Row Rows[] = {
+        {"off", 1, {Three}, 1, "a;b;close;"},
+        {"side by side", 8, {Three}, 3, "a;b;close;"},
+        {"one by one",
+         8,
+         {get("/150/a"), get("/20/b"), get("/20/close")},
+         3,
+         "a;b;close;"},
+        {"at most two", 2, {Three}, 2, "a;b;close;"},
+        {"a body waits for those before it",
+         8,
+         {get("/100/a") + get("/100/b") + Upload + get("/10/close")},
+         2,
+         "a;b;post;close;"},
+        {"a body first",
+         8,
+         {Upload + get("/50/b") + get("/50/close")},
+         2,
+         "post;b;close;"},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      PipelineFixture Fixture(Case.m_Depth);
+      Exchanged Got = Fixture.run(Case.m_Texts, 3s, 5ms);
+      CHECK(bodies(Got.m_Received) == Case.m_Bodies);
+      CHECK(Fixture.m_Seen.m_MostRunning == Case.m_MostRunning);
+      CHECK(Fixture.m_Seen.m_Closed.empty());
+      CHECK(Fixture.m_Server.connections() == 0);
+      CHECK(Fixture.m_Server.activeRequests() == 0);
+    }
+  }
+
+  // Guards against servers that work on for a caller that has left.
+  TEST_CASE("a client that disconnects cancels all its requests") {
+    PipelineFixture Fixture(8);
+    Fixture.run({get("/2000/a") + get("/2000/b") + get("/2000/c")}, 100ms);
+    CHECK(Fixture.m_Seen.m_Closed == std::vector<std::string>{"a", "b", "c"});
+    CHECK(Fixture.m_Server.connections() == 0);
+  }
+
+  // Guards against a second response behind one that closes the connection.
+  TEST_CASE("a response that closes the connection ends those behind it") {
+    PipelineFixture Fixture(8);
+    Exchanged Got = Fixture.run(
+        {get("/100/a") + get("/100/close") + get("/2000/c") + get("/10/d")},
+        3s);
+    CHECK(bodies(Got.m_Received) == "a;close;");
+    CHECK(Got.m_Received.find("Connection: close") != std::string::npos);
+    CHECK(Fixture.m_Seen.m_Closed == std::vector<std::string>{"c"});
+    CHECK(Got.m_Took < 1500ms);
+  }
+
+  // Guards against requests of a planned stop that servers run in vain.
+  TEST_CASE("a planned stop answers what has been read") {
+    PipelineFixture Fixture(8);
+    Exchanged Got = Fixture.run(
+        {get("/300/a") + get("/100/b") + get("/300/c")}, 3s, 0ms,
+        [&] {
+          Fixture.m_Server.disableKeepAlive();
+          Fixture.m_Server.stopAccepting();
+        },
+        100ms);
+    CHECK(bodies(Got.m_Received) == "a;b;c;");
+    CHECK(Got.m_Received.find("Connection: close") != std::string::npos);
+    CHECK(Fixture.m_Seen.m_Closed.empty());
+    CHECK(Got.m_Took < 1s);
+  }
+
+  // Guards against a malformed request that hides the responses before it.
+  TEST_CASE("an invalid request is refused after those before it") {
+    PipelineFixture Fixture(8);
+    Exchanged Got =
+        Fixture.run({get("/100/a") + "GET \x01 nothing\r\n\r\n"}, 3s);
+    CHECK(bodies(Got.m_Received).starts_with("a;"));
+    CHECK(Got.m_Received.find("400 Bad Request") != std::string::npos);
+    CHECK(Got.m_Received.find("a;") < Got.m_Received.find("400 Bad Request"));
+  }
+
+  // Guards against memory that grows with what clients pipeline.
+  TEST_CASE("without memory to spare requests are read one at a time") {
+    PipelineFixture Fixture(8,
+                            std::make_shared<BufferBudget>(MaxUnparsedBytes));
+    Exchanged Got =
+        Fixture.run({get("/50/a") + get("/50/b") + get("/50/close")}, 3s);
+    CHECK(bodies(Got.m_Received) == "a;b;close;");
+    CHECK(Fixture.m_Seen.m_MostRunning == 1);
+  }
+}
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -69,7 +69,7 @@
 }
 
 HttpServerLimits callerLimits(const RequestLimits &Requested,
-                              std::size_t MaxConnections,
+                              const NodeSettings &Settings,
                               BufferBudgetPtr Budget) {
   HttpServerLimits Limits;
   Limits.m_Budget = std::move(Budget);
@@ -78,8 +78,9 @@
   Limits.m_HeaderTimeout = Requested.m_HeaderTimeout;
   Limits.m_IdleTimeout = Requested.m_IdleTimeout + CallerIdleMargin;
   Limits.m_MaxBufferedBodyBytes = BufferedBodyBytes;
-  Limits.m_MaxConnections = static_cast<int>(MaxConnections);
-  Limits.m_MaxConnectionsPerIp = static_cast<int>(MaxConnections);
+  Limits.m_MaxConnections = static_cast<int>(Settings.m_MaxConnections);
+  Limits.m_MaxConnectionsPerIp = Limits.m_MaxConnections;
+  Limits.m_MaxPipelinedRequests = Settings.m_MaxPipelinedRequests;
   return Limits;
 }
 
@@ -105,13 +106,11 @@
                      detourLimits(m_BufferBudget)),
       m_CallerServer(
           Io, m_Reachability,
-          callerLimits(RequestLimits{}, m_Settings.m_MaxConnections,
-                       m_BufferBudget),
+          callerLimits(RequestLimits{}, m_Settings, m_BufferBudget),
           [this](HttpRequest R) { return serveRequest(std::move(R)); }),
       m_DetourServer(
           Io, m_Reachability,
-          callerLimits(RequestLimits{}, m_Settings.m_MaxConnections,
-                       m_BufferBudget),
+          callerLimits(RequestLimits{}, m_Settings, m_BufferBudget),
           [this](HttpRequest R) { return serveDetour(std::move(R)); }),
       m_ReadyServer(
           Io, m_Reachability, withBudget(HttpServerLimits{}, m_BufferBudget),
@@ -287,8 +286,8 @@
             {"routes", std::to_string(Next.m_Routes.size())}});
   m_Routes.apply(std::move(Next));
   m_ConfigDocument = std::move(Document);
-  HttpServerLimits Limits = callerLimits(
-      m_Routes.config().m_Limits, m_Settings.m_MaxConnections, m_BufferBudget);
+  HttpServerLimits Limits =
+      callerLimits(m_Routes.config().m_Limits, m_Settings, m_BufferBudget);
   m_CallerServer.setLimits(Limits);
   m_DetourServer.setLimits(Limits);
   m_AppliedListChanges = 0; // Pools of servers may have changed.
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -67,6 +67,8 @@
   // the server tolerates. It is read from the settings, but not used.
   double m_MaxColdRateFactor = 1;
   std::size_t m_MaxConnections = 3000;
+  // Requests of one connection that are in progress at once.
+  int m_MaxPipelinedRequests = 1;
   std::size_t m_MemoryBytes = 256U << 20U; // Memory limit of the process.
   DisabledMechanisms m_Disabled; // Used in experiments and emergencies.
 };
