Quotas of organisations across all VMs, by tokens

Cause: nothing limited what an organisation sends; one that sends several times its usual rate takes the room of the others.

A request runs only with a token, so the sum over all VMs stays below the quota whatever is lost, cut off or restarted (lib/Quota).

--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -4,6 +4,7 @@
 #include "net/Crypto.h"
 #include "net/Daemon.h"
 #include "net/Log.h"
+#include "net/QuotaMessages.h"
 #include "net/Text.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -132,6 +133,7 @@
                   }),
       m_Random(stableHash(m_Settings.m_Ip)), m_TickTimer(Io),
       m_Organisations(KeyedDigest()),
+      m_QuotaClient(QuotaLimits{}, stableHash(m_Settings.m_Ip)),
       m_Dispatcher(m_Settings.m_Region, limitsOf(m_Settings), {},
                    stableHash(m_Settings.m_Ip)),
       m_Members(m_Settings.m_Ip, m_Settings.m_Domain, memberLimits(m_Settings)),
@@ -178,6 +180,16 @@
                           handleSuspectUpdates(Params);
                           return Json::Value();
                         });
+  m_Rpc.addNotification(
+      QuotaAskMethod, [this](const Json::Value &Params, const std::string &Ip) {
+        handleQuotaAsk(Params, Ip);
+        return Json::Value();
+      });
+  m_Rpc.addNotification(QuotaGrantMethod,
+                        [this](const Json::Value &Params, const std::string &) {
+                          handleQuotaGrant(Params);
+                          return Json::Value();
+                        });
   m_Rpc.addNotification("loads",
                         [this](const Json::Value &Params, const std::string &) {
                           handleLoadUpdates(Params);
@@ -230,6 +242,8 @@
   constexpr Duration AcceptDuration = 3800ms;
   m_Leaving = true;
   m_LeavingSince = now();
+  m_QuotaCandidates.clear(); // The quotas that this VM holds change hands.
+  updateQuotaHolders();
   m_Dispatcher.limitQueuedDeadlines(stopTime());
   m_CallerServer.disableKeepAlive();
   m_DetourServer.disableKeepAlive();
@@ -296,6 +310,7 @@
   m_DetourServer.setLimits(Limits);
   m_AppliedListChanges = 0; // Pools of servers may have changed.
   refuseWithdrawnKeys();
+  configureQuotas();
   applyList();
 }
 
@@ -350,6 +365,7 @@
                {{"ms", std::to_string((Now - m_LastTick) / 1ms)}});
     m_LastTick = Now;
     processQueue();
+    sendQuotaAsks();
     if (Now - LastPeriodic >= 200ms) {
       LastPeriodic = Now;
       m_Dispatcher.fleet().setHeardShare(heardShare(), Now);
@@ -359,6 +375,8 @@
       sendPeriodicListUpdate();
       sendServerUpdates();
       sendRateLimitUpdates(true);
+      updateQuotaHolders();
+      countQuotas();
       m_Suspects.tick(Now);
       sendSuspectUpdates(true);
       logRateLimitChanges();
@@ -367,8 +385,9 @@
       m_PeerClient.closeExpiredConnections(Now);
       m_DetourClient.closeExpiredConnections(Now);
     }
-    Duration Pause =
-        m_QueuedExchanges.empty() ? IdleTickInterval : TickInterval;
+    Duration Pause = m_QueuedExchanges.empty() && m_QuotaWaiting.empty()
+                         ? IdleTickInterval
+                         : TickInterval;
     if (m_Dispatcher.fleet().hasNewRateLimitUpdates())
       Pause = std::clamp(timeToRateLimitUpdates(), TickInterval, Pause);
     m_TickTimer.expires_after(Pause);
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -17,6 +17,7 @@
 #include "rhubarb/Evacuations.h"
 #include "rhubarb/Members.h"
 #include "rhubarb/Organisations.h"
+#include "rhubarb/Quota.h"
 #include "rhubarb/Readers.h"
 #include "rhubarb/Relays.h"
 #include "rhubarb/Retry.h"
@@ -63,6 +64,9 @@
   double m_RetryRatio = 0.2;
   // Retries allowed per window beyond that ratio, summed over all VMs.
   double m_RetrySlack = 0;
+  // Requests of an organisation that may run beyond its quota in the shortest
+  // window in which quotas hold, summed over all VMs.
+  double m_QuotaSlack = 0;
   double m_CpuShare = 1; // CPU limit of the process in cores.
   // Limit of the request rate at a cold server, as a multiple of the rate that
   // the server tolerates. It is read from the settings, but not used.
@@ -124,6 +128,11 @@
   // Triggered when the caller closes its connection or the server is gone.
   std::shared_ptr<Cancellation> m_AttemptCancellation;
   DispatchDecision m_Decision;
+  // When the token of the organisation's quota expires; 0: none was needed.
+  Time m_QuotaTokenExpiresAt{0};
+  // Set while the request waits for a token; cancelling it wakes the request.
+  std::unique_ptr<boost::asio::steady_timer> m_QuotaTimer;
+  QuotaDecision m_QuotaDecision;
   // Set while the request is queued; cancelling it wakes the request.
   std::unique_ptr<boost::asio::steady_timer> m_QueueTimer;
   Duration m_QueueTime{0}; // Total time in the queue, over all attempts.
@@ -305,6 +314,23 @@
   void logRequest(const Exchange &Work, int Status,
                   std::string_view Reason) const;
 
+  // --- Quotas of organisations (NodeQuota.cpp)
+  // Gets a token for a request; waits for it if necessary. Returns the refusal
+  // of a request beyond its organisation's quota.
+  asio::awaitable<std::optional<HttpResponse>> admitByQuota(ExchangePtr Work);
+  // Gives back the token of a request that no server has seen.
+  void giveBackQuotaToken(Exchange &Work);
+  void configureQuotas();
+  // Decides which VM holds the quotas of each region.
+  void updateQuotaHolders();
+  std::vector<QuotaVm> quotaVms(const std::string &Region) const;
+  void sendQuotaAsks();
+  // Wakes requests whose wait for a token has ended.
+  void processQuotaWaits();
+  void handleQuotaAsk(const Json::Value &Params, const std::string &PeerIp);
+  void handleQuotaGrant(const Json::Value &Params);
+  void countQuotas();
+
   // --- Requests through other VMs (NodeDetours.cpp)
   // Serves a request that another VM could not bring to a server.
   asio::awaitable<HttpResponse> serveDetour(HttpRequest Request);
@@ -422,6 +448,17 @@
 
   RouteTable m_Routes;
   OrganisationTable m_Organisations;
+  QuotaHolder m_QuotaHolder;
+  QuotaClient m_QuotaClient;
+  // Names of the organisations with a quota, and their labels in metrics.
+  std::map<OrganisationHash, std::string> m_QuotaLabels;
+  std::vector<std::string> m_QuotaRegions; // The own region first.
+  // Candidates for holders by region, as in m_QuotaRegions, and the holders
+  // that follow from them.
+  std::vector<std::vector<std::string>> m_QuotaCandidates;
+  std::map<OrganisationHash, std::vector<std::string>> m_QuotaHolders;
+  QuotaActing m_QuotaActing;
+  std::unordered_map<RequestId, ExchangePtr> m_QuotaWaiting;
   WeightedSplitter m_Splitter;
   ConfigDocument m_ConfigDocument;
   Dispatcher m_Dispatcher;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -200,6 +200,10 @@
     if (!Left)
       return;
     Left->m_RequestCancellation->cancel();
+    if (m_QuotaWaiting.erase(Left->m_Dispatch.m_Id) > 0) {
+      m_QuotaClient.cancel(Left->m_Dispatch.m_Id);
+      Left->m_QuotaTimer->cancel();
+    }
     if (m_Dispatcher.cancel(Left->m_Dispatch.m_Id)) {
       m_QueuedExchanges.erase(Left->m_Dispatch.m_Id);
       Left->m_Decision.m_Action = DispatchAction::Refuse;
@@ -207,7 +211,12 @@
       Left->m_QueueTimer->cancel();
     }
   };
-  HttpResponse Response = co_await attemptUntilAnswered(Work);
+  HttpResponse Response;
+  if (std::optional<HttpResponse> Refusal = co_await admitByQuota(Work))
+    Response = std::move(*Refusal);
+  else
+    Response = co_await attemptUntilAnswered(Work);
+  giveBackQuotaToken(*Work);
   Watch->m_OnClose = nullptr;
   co_return Response;
 }
