Hear the load of shared machines, and fill servers by time

Cause: a load header with four figures was refused whole, so nothing of it was used; and a fixed share of the slots decided how far a server was filled, so that the least urgent requests could not queue at servers of three slots.

Change: the fourth figure scales the expected run time for some hundred milliseconds. Where servers report it, a request may queue inside a server for 0.7 of the time that it can spare, less where more urgent requests of the pool need the room, where the server is slow or overdue, and never longer than the queue that servers have shown to accept.

--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -77,6 +77,18 @@
   // it, other processes would take each freed slot before a request of higher
   // priority in this process could.
   double m_ServerQueueShare[PriorityClasses] = {0.7, 0.34, 0};
+  // Where servers report how long work takes on their machines, this replaces
+  // m_ServerQueueShare: a request may queue inside a server for this share of
+  // the time that it can wait and still be on time.
+  double m_QueueTimeShare = 0.7;
+  // The same for requests of lower priority, as a share of what requests of a
+  // higher priority in the pool can wait.
+  double m_UrgentQueueTimeShare = 0.5;
+  // Share of the longest queue that servers accept to use: other processes send
+  // at the same time.
+  double m_FullQueueShare = 0.8;
+  // A higher priority counts for this long after its last request.
+  Duration m_UrgentSeenFor = 10s;
   // A server below this share of its slots has spare capacity for requests that
   // will miss their objective and for objects that are cold there.
   double m_SpareLoadShare = 0.6;
@@ -113,6 +125,9 @@
   Duration expected(const std::string &Route, Duration Objective,
                     bool Warm) const;
   void record(const std::string &Route, bool Warm, Duration RunTime);
+  // Mean run time of a pool's requests, of all routes; 0: none measured.
+  Duration poolMean(int Pool) const;
+  void recordPool(int Pool, Duration RunTime);
 
 private:
   struct Row {
@@ -121,6 +136,7 @@
   };
   const DispatchLimits &m_Limits;
   std::unordered_map<std::string, Row> m_Rows;
+  std::unordered_map<int, double> m_PoolUs;
 };
 
 // Assigns requests to servers, with times and results from the embedder.
@@ -215,6 +231,11 @@
   std::vector<Candidate> rankedCandidates(const DispatchRequest &Request,
                                           Time Now);
   bool hasCapacity(ServerIndex Index, const DispatchRequest &Request, Time Now);
+  // Returns how many requests may queue inside a server that reports how long
+  // work takes on its machine.
+  double queueDepth(ServerIndex Index, const DispatchRequest &Request,
+                    Time Now) const;
+  void recordSpareTime(const DispatchRequest &Request, Time Now);
   int queuedAhead(ServerIndex Index, const DispatchRequest &Request) const;
   bool rateAllows(ServerIndex Index, const DispatchRequest &Request,
                   Time Now) const;
@@ -258,6 +279,13 @@
   // Cached snapshot of each pool; cleared when a request is sent, and before
   // new and queued requests are decided.
   std::unordered_map<int, PoolSnapshot> m_PoolSnapshots;
+  // Time that requests of a pool and priority can wait and still be on time, on
+  // a server where their object is warm.
+  struct SpareTime {
+    Duration m_Spare{0};
+    Time m_SeenAt{0}; // 0: no request of the priority was seen.
+  };
+  std::unordered_map<int, std::array<SpareTime, PriorityClasses>> m_SpareTimes;
   std::function<double(const BackendInfo &)> m_ColdRateHook;
   Time m_AffinityPrunedAt{0};
 };
--- a/include/rhubarb/Fleet.h
+++ b/include/rhubarb/Fleet.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -42,6 +43,9 @@
   int m_Running = 0;
   int m_Waiting = 0;
   int m_Slots = 0;
+  // How long work takes on the server's machine at present, in percent of the
+  // usual time; 0: not reported.
+  int m_RunTimePercent = 0;
 };
 
 // Returns the rate, in requests per second, at which one VM may send to a cold
@@ -151,6 +155,9 @@
   // Half-life of a load report: the estimate decays towards the average load of
   // the pool's servers in the same region.
   Duration m_LoadHalfLife = 500ms;
+  // Half-life of the run time that a server reports: it decays to the usual
+  // one.
+  Duration m_SlowdownHalfLife = 300ms;
   // Weight of one load report in the moving average of its group.
   double m_AverageLoadWeight = 0.05;
   // Upper bound on the average load, as a share of the slots, so that a server
@@ -176,7 +183,10 @@
   int m_OwnRequests = 0; // Requests of this process in flight.
   // Requests of other processes at the server, from its last load report.
   double m_OtherRequests = 0;
-  Time m_LoadUpdatedAt{0};  // Time of the last load report.
+  Time m_LoadUpdatedAt{0}; // Time of the last load report.
+  // Run time on the server's machine, as a multiple of the usual one.
+  double m_Slowdown = 1;
+  Time m_SlowdownAt{0};
   double m_FailureRate = 0; // Share of recent attempts that failed.
   Time m_SilentSince{0};
   Time m_LastSentAt{0};
@@ -264,6 +274,17 @@
                         Time Now);
   // Records the load of a server, reported to any process at the given time.
   void updateLoad(ServerIndex Index, int Total, Time At);
+  // Applies the run time that a server reports with its load.
+  void updateSlowdown(ServerIndex Index, int RunTimePercent, Time Now);
+  // Estimates how many times longer than usual work takes on a server now.
+  double slowdown(const BackendState &Row, Time Now) const;
+  // Whether servers of a pool report how long work takes on their machines.
+  bool reportsSlowdown(int Pool) const {
+    return m_SlowdownPools.contains(Pool);
+  }
+  // Returns the longest queue that a server of a pool had when it refused a
+  // request as full, or none if none has.
+  std::optional<int> fullQueueLength(int Pool) const;
   // Returns and clears the high loads reported by servers since the last call,
   // to be shared with the other processes that send there.
   std::map<ServerIndex, ServerLoad> takeHighLoads();
@@ -426,6 +447,8 @@
   std::size_t m_PeerCount = 0;
   // Peer processes that sent updates about limits of late.
   std::map<std::uint64_t, Time> m_RateLimitPeers;
+  std::set<int> m_SlowdownPools;   // Pools whose servers report run times.
+  std::map<int, int> m_FullQueues; // See fullQueueLength(), by pool.
   // Servers that gave no response since the last one of any server, by pool.
   std::map<int, std::set<ServerIndex>> m_Unresponsive;
   // Share of recent attempts that could not reach their server. From one half
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -12,6 +12,8 @@
 constexpr double HashSpan = 18446744073709551616.0;
 // Share by which one measurement changes a service time estimate.
 constexpr double ServiceTimeStep = 0.04;
+// Weight of one run in the mean run time of its pool.
+constexpr double PoolMeanWeight = 0.02;
 // Run times of a route lie within this multiple of their estimate, mostly.
 constexpr double RunTimeMargin = 1.5;
 // Relative increase of a server's cost per position in the rendezvous order.
@@ -44,7 +46,10 @@
 Duration estimateRunTime(const ReportedLoad &Load, Duration AtServer) {
   double Slots = std::max(1, Load.m_Slots);
   double Total = std::max(1, Load.m_Running + Load.m_Waiting);
-  return fromMicros(toMicros(AtServer) * std::min(1.0, Slots / Total));
+  double Slowdown =
+      Load.m_RunTimePercent > 0 ? Load.m_RunTimePercent / 100.0 : 1;
+  return fromMicros(toMicros(AtServer) * std::min(1.0, Slots / Total) /
+                    Slowdown);
 }
 
 // Returns limits that disable the given mechanisms.
@@ -97,6 +102,17 @@
         Micros > Estimate ? 1 + ServiceTimeStep : 1 / (1 + ServiceTimeStep);
 }
 
+Duration ServiceTimes::poolMean(int Pool) const {
+  auto Mean = m_PoolUs.find(Pool);
+  return Mean == m_PoolUs.end() ? Duration{0} : fromMicros(Mean->second);
+}
+
+void ServiceTimes::recordPool(int Pool, Duration RunTime) {
+  auto [Mean, Added] = m_PoolUs.try_emplace(Pool, toMicros(RunTime));
+  if (!Added)
+    Mean->second += PoolMeanWeight * (toMicros(RunTime) - Mean->second);
+}
+
 Dispatcher::Dispatcher(std::string Region, DispatchLimits Limits,
                        FleetLimits Servers, std::uint64_t Seed)
     : m_Region(std::move(Region)), m_Limits(withoutDisabled(Limits)),
@@ -354,6 +370,9 @@
   double Load = m_Fleet.load(Row, Now);
   if (m_Fleet.isCold(Row, Now))
     return Load + 1 <= Slots && coldTokens(Index, Now) >= 1;
+  if (m_Fleet.reportsSlowdown(Request.m_Pool) &&
+      !isDisabled(Mechanism::QueueInside))
+    return Load + 1 <= Slots + queueDepth(Index, Request, Now);
   double QueueShare =
       m_Limits.m_ServerQueueShare[priorityClass(Request.m_Priority)];
   if (QueueShare < 0)
@@ -363,6 +382,53 @@
          Slots + (QueueShare > 0 ? std::max(1.0, Slots * QueueShare) : 0);
 }
 
+// A slot that is free while the next request is on its way is lost capacity, so
+// servers are filled ahead as far as the requests can wait there.
+double Dispatcher::queueDepth(ServerIndex Index, const DispatchRequest &Request,
+                              Time Now) const {
+  const BackendState &Row = m_Fleet.row(Index);
+  double Slowdown = m_Fleet.slowdown(Row, Now);
+  Duration Objective = Request.m_ObjectiveAt - Request.m_ArrivedAt;
+  bool Warm = isWarm(Index, Request.m_ObjectHash, Now);
+  double RunTime =
+      toMicros(m_Times.expected(Request.m_RouteName, Objective, Warm)) *
+      Slowdown;
+  double RoundTrip = toMicros(m_Fleet.roundTrip(Row));
+  double CanWait =
+      m_Limits.m_QueueTimeShare *
+      (toMicros(Request.m_ObjectiveAt - Now) - RoundTrip - RunTime);
+  auto Spare = m_SpareTimes.find(Request.m_Pool);
+  if (Spare != m_SpareTimes.end())
+    for (std::size_t Class = 0; Class < priorityClass(Request.m_Priority);
+         ++Class) {
+      const SpareTime &Urgent = Spare->second[Class];
+      if (Urgent.m_SeenAt.count() > 0 &&
+          Now - Urgent.m_SeenAt < m_Limits.m_UrgentSeenFor)
+        CanWait = std::min(CanWait, m_Limits.m_UrgentQueueTimeShare *
+                                        toMicros(Urgent.m_Spare));
+    }
+  double Mean = toMicros(m_Times.poolMean(Request.m_Pool)) * Slowdown;
+  // A server whose responses are overdue has turned slow.
+  if (Row.m_OwnRequests > 0)
+    Mean = std::max(Mean, toMicros(Now - Row.m_SilentSince));
+  if (CanWait <= 0 || Mean <= 0)
+    return 0;
+  double Depth = CanWait / Mean * Row.m_Info.m_Slots;
+  if (auto Full = m_Fleet.fullQueueLength(Request.m_Pool))
+    Depth = std::min(Depth, m_Limits.m_FullQueueShare * *Full);
+  return Depth;
+}
+
+void Dispatcher::recordSpareTime(const DispatchRequest &Request, Time Now) {
+  Duration Objective = Request.m_ObjectiveAt - Request.m_ArrivedAt;
+  SpareTime &Row =
+      m_SpareTimes[Request.m_Pool][priorityClass(Request.m_Priority)];
+  Row.m_Spare =
+      std::max(Duration{0}, Objective - m_Times.expected(Request.m_RouteName,
+                                                         Objective, true));
+  Row.m_SeenAt = Now;
+}
+
 bool Dispatcher::hasSpareSlots(ServerIndex Index, Time Now) const {
   const BackendState &Row = m_Fleet.row(Index);
   return m_Fleet.load(Row, Now) + 1 <=
@@ -385,9 +451,15 @@
   Duration Objective = Request.m_ObjectiveAt - Request.m_ArrivedAt;
   double ServiceTime = toMicros(
       m_Times.expected(Request.m_RouteName, Objective, Decision.m_Warm));
+  double TimeOfOneAhead = ServiceTime;
+  if (m_Fleet.reportsSlowdown(Request.m_Pool)) {
+    double Slowdown = m_Fleet.slowdown(Row, Now);
+    ServiceTime *= Slowdown;
+    TimeOfOneAhead = toMicros(m_Times.poolMean(Request.m_Pool)) * Slowdown;
+  }
   Decision.m_ExpectedTime =
       m_Fleet.roundTrip(Row) +
-      fromMicros(ServiceTime * (1 + RequestsAhead / Slots));
+      fromMicros(ServiceTime + TimeOfOneAhead * RequestsAhead / Slots);
   return Decision;
 }
 
@@ -562,6 +634,8 @@
 
 DispatchDecision Dispatcher::submit(const DispatchRequest &Request, Time Now) {
   m_PoolSnapshots.clear();
+  if (m_Fleet.reportsSlowdown(Request.m_Pool))
+    recordSpareTime(Request, Now);
   if (Now >= Request.m_Deadline)
     return refuse(Request, ErrorKind::DeadlinePassed, {}, Now);
   std::vector<Candidate> Ranked = rankedCandidates(Request, Now);
@@ -704,10 +778,12 @@
     return;
   Duration AtServer =
       Report.m_ResponseTime - m_Fleet.roundTrip(m_Fleet.row(Decision.m_Server));
-  if (Report.m_HasLoad && !isDisabled(Mechanism::RunTimes))
-    m_Times.record(Request.m_RouteName, Decision.m_Warm,
-                   estimateRunTime(Report.m_Load, AtServer));
-  else if (!Decision.m_QueuedAtServer)
+  if (Report.m_HasLoad && !isDisabled(Mechanism::RunTimes)) {
+    Duration RunTime = estimateRunTime(Report.m_Load, AtServer);
+    m_Times.record(Request.m_RouteName, Decision.m_Warm, RunTime);
+    if (Report.m_Load.m_RunTimePercent > 0)
+      m_Times.recordPool(Request.m_Pool, RunTime);
+  } else if (!Decision.m_QueuedAtServer)
     // Without an estimate of the run time, requests that queued at the server
     // are not measured, as their queueing would count as service time.
     m_Times.record(Request.m_RouteName, Decision.m_Warm, AtServer);
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -274,6 +274,29 @@
   Row.m_LoadUpdatedAt = At;
 }
 
+void Fleet::updateSlowdown(ServerIndex Index, int RunTimePercent, Time Now) {
+  if (RunTimePercent <= 0)
+    return;
+  constexpr double Percent = 100;
+  BackendState &Row = mutableRow(Index);
+  Row.m_Slowdown = RunTimePercent / Percent;
+  Row.m_SlowdownAt = Now;
+  m_SlowdownPools.insert(Row.m_Info.m_Pool);
+}
+
+double Fleet::slowdown(const BackendState &Row, Time Now) const {
+  double Age = toMicros(Now - Row.m_SlowdownAt);
+  double Weight = std::exp2(-Age / toMicros(m_Limits.m_SlowdownHalfLife));
+  return 1 + (Row.m_Slowdown - 1) * Weight;
+}
+
+std::optional<int> Fleet::fullQueueLength(int Pool) const {
+  auto Length = m_FullQueues.find(Pool);
+  if (Length == m_FullQueues.end())
+    return std::nullopt;
+  return Length->second;
+}
+
 void Fleet::applyServerHints(ServerIndex Index, bool Leaving,
                              Duration BackoffFor, Time Now) {
   BackendState &Row = mutableRow(Index);
@@ -567,6 +590,13 @@
     int Total = std::max(0, Report.m_Load.m_Running + Report.m_Load.m_Waiting -
                                 (Ran ? 1 : 0));
     updateLoad(Index, Total, Now);
+    updateSlowdown(Index, Report.m_Load.m_RunTimePercent, Now);
+    bool IsFull = Report.m_Outcome == AttemptOutcome::Refused &&
+                  Report.m_Load.m_Running >= Row.m_Info.m_Slots;
+    if (IsFull) {
+      int &Length = m_FullQueues[Row.m_Info.m_Pool];
+      Length = std::max(Length, Report.m_Load.m_Waiting);
+    }
     double &Average = m_AverageLoads[Row.m_Group];
     Average +=
         m_Limits.m_AverageLoadWeight *
--- a/tools/rhubarb-node/Headers.cpp
+++ b/tools/rhubarb-node/Headers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace rhubarb::node {
 
@@ -16,8 +17,42 @@
     "connection", "keep-alive", "proxy-connection",  "te",
     "trailer",    "upgrade",    "transfer-encoding", "content-length"};
 
+std::string_view trimBlanks(std::string_view Text) {
+  std::size_t First = std::min(Text.find_first_not_of(" \t"), Text.size());
+  Text.remove_prefix(First);
+  return Text.substr(0, Text.find_last_not_of(" \t") + 1);
+}
+
 } // namespace
 
+std::optional<ReportedLoad> readServerLoad(std::string_view Text) {
+  constexpr std::size_t RequiredFigures = 3;
+  constexpr std::size_t Figures = 4;
+  constexpr int MaxRequests = 1'000'000;
+  constexpr int MaxRunTimePercent = 100'000;
+  std::array<int, Figures> Values{};
+  std::size_t Count = 0;
+  for (bool IsLast = false; !IsLast && Count < Figures; ++Count) {
+    std::size_t Comma = Text.find(',');
+    IsLast = Comma == std::string_view::npos;
+    std::string_view Part = trimBlanks(Text.substr(0, Comma));
+    Text.remove_prefix(IsLast ? Text.size() : Comma + 1);
+    int Value = -1;
+    const char *End = Part.data() + Part.size();
+    auto [Stop, Error] = std::from_chars(Part.data(), End, Value);
+    bool IsRequired = Count < RequiredFigures;
+    bool IsOdd = Part.empty() || Error != std::errc() || Stop != End ||
+                 Value < 0 ||
+                 Value > (IsRequired ? MaxRequests : MaxRunTimePercent);
+    if (IsOdd && IsRequired)
+      return std::nullopt;
+    Values[Count] = IsOdd ? 0 : Value;
+  }
+  if (Count < RequiredFigures)
+    return std::nullopt;
+  return ReportedLoad{Values[0], Values[1], Values[2], Values[3]};
+}
+
 std::string lower(std::string_view Text) {
   std::string Lowered(Text);
   for (char &C : Lowered)
--- a/tools/rhubarb-node/Headers.h
+++ b/tools/rhubarb-node/Headers.h
@@ -3,12 +3,20 @@
 
 #include "net/Http.h"
 
+#include "rhubarb/Fleet.h"
+
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace rhubarb::node {
 
+// Reads the load that a server reports: running requests, waiting requests,
+// slots and, from servers that share their machine, the run time there in
+// percent. Further figures are ignored. Returns none if one of the first three
+// is odd; an odd fourth figure counts as not reported.
+std::optional<ReportedLoad> readServerLoad(std::string_view Text);
 // Returns the text in lower case (ASCII).
 std::string lower(std::string_view Text);
 // Copies the end-to-end header fields: no hop-by-hop fields and none that a
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -1,4 +1,5 @@
 #include "Node.h"
+#include "Headers.h"
 
 #include "net/Clock.h"
 #include "net/Daemon.h"
@@ -483,6 +484,15 @@
     recordServerHints(Server, Hints);
     m_Dispatcher.fleet().applyServerHints(Index, Hints.m_Leaving,
                                           Hints.m_BackoffFor, now());
+    // Servers that share their machine answer health checks without a slot, and
+    // tell their load.
+    auto Load =
+        readServerLoad(Got.m_Response.header(m_HeaderNames.m_ServerLoad));
+    if (Load && Load->m_RunTimePercent > 0) {
+      m_Dispatcher.fleet().updateLoad(Index, Load->m_Running + Load->m_Waiting,
+                                      now());
+      m_Dispatcher.fleet().updateSlowdown(Index, Load->m_RunTimePercent, now());
+    }
     double PerSecond = 0;
     RateLimitHint Hint = readRateLimit(Got.m_Response, PerSecond);
     m_Dispatcher.fleet().applyRateLimitHint(Index, Hint, PerSecond, now());
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -12,7 +12,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <limits>
 
@@ -83,29 +82,13 @@
   return Hash;
 }
 
-std::optional<ReportedLoad> readLoad(std::string_view Text) {
-  std::array<int, 3> Parts{};
-  std::size_t Count = 0;
-  for (const std::string &Part : splitCommas(Text)) {
-    std::size_t Start = Part.find_first_not_of(' ');
-    if (Start == std::string::npos || Count == Parts.size())
-      return std::nullopt;
-    const char *End = Part.data() + Part.size();
-    auto [Stop, Error] =
-        std::from_chars(Part.data() + Start, End, Parts[Count]);
-    if (Error != std::errc())
-      return std::nullopt;
-    ++Count;
-  }
-  if (Count != Parts.size())
-    return std::nullopt;
-  return ReportedLoad{Parts[0], Parts[1], Parts[2]};
-}
-
 // Formats a load as running requests, waiting requests and slots.
 std::string loadText(const ReportedLoad &Load) {
   return std::to_string(Load.m_Running) + "," + std::to_string(Load.m_Waiting) +
-         "," + std::to_string(Load.m_Slots);
+         "," + std::to_string(Load.m_Slots) +
+         (Load.m_RunTimePercent > 0
+              ? "," + std::to_string(Load.m_RunTimePercent)
+              : "");
 }
 
 std::string millisText(Duration Value) {
@@ -581,7 +564,7 @@
   AttemptReport &Report = Attempt.m_Report;
   Report.m_RateLimitHint = readRateLimit(Response, Report.m_RateLimit);
   recordUnknownHeaders(Response);
-  if (auto Load = readLoad(Response.header(m_HeaderNames.m_ServerLoad))) {
+  if (auto Load = readServerLoad(Response.header(m_HeaderNames.m_ServerLoad))) {
     Work.m_ReportedLoad = *Load;
     Report.m_HasLoad = true;
     Report.m_Load = *Load;
