Keep connections open to distant servers that hold warm objects

Each pair of VM and server is used too seldom for a pooled connection to survive, so the request pays a second round trip of 110 ms to open one.

Change: a VM opens a connection to each server of another region on which objects of its region are warm, before the pooled one expires. Only where servers report their run time, or the contracts name pressure; only to servers at 20 ms or more; at most 16 in 250 ms.

--- a/include/rhubarb/Affinity.h
+++ b/include/rhubarb/Affinity.h
@@ -7,6 +7,7 @@
 #include "rhubarb/Servers.h"
 
 #include <cstdint>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -62,6 +63,9 @@
   // killed at once, the objects are still warm on their servers, and new
   // processes would run each one cold elsewhere.
   void restore(const SavedAffinity &Saved, Time Now);
+  // Returns the servers on which any object is warm. Cost: linear in the
+  // objects.
+  std::set<ServerIndex> allWarmServers(Time Now) const;
   // Removes expired entries. Cost: linear in the objects.
   void prune(Time Now);
 
--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -181,6 +181,10 @@
   std::vector<AffinityUpdate> takeAffinityUpdates() {
     return m_Affinity.takeUpdates();
   }
+  // Returns the servers of other regions that objects of this region are warm
+  // on, and that may receive requests. Connections to them are worth keeping
+  // open.
+  std::vector<ServerIndex> remoteWarmServers(Time Now) const;
   // Sets the function that returns this process's share of requests per second
   // to a cold server. The sum over all processes must not exceed what the
   // server tolerates.
--- a/lib/Affinity.cpp
+++ b/lib/Affinity.cpp
@@ -97,6 +97,15 @@
   Warm.m_AnnouncedAt = RanAt;
 }
 
+std::set<ServerIndex> AffinityTable::allWarmServers(Time Now) const {
+  std::set<ServerIndex> Servers;
+  for (const auto &[Object, Rows] : m_ByObject)
+    for (const WarmServer &Warm : Rows)
+      if (isFresh(Warm, Now))
+        Servers.insert(Warm.m_Server);
+  return Servers;
+}
+
 void AffinityTable::prune(Time Now) {
   for (auto Object = m_ByObject.begin(); Object != m_ByObject.end();) {
     std::erase_if(Object->second,
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -303,6 +303,17 @@
          coldTokens(Index, Now) >= 1;
 }
 
+std::vector<ServerIndex> Dispatcher::remoteWarmServers(Time Now) const {
+  std::vector<ServerIndex> Remote;
+  for (ServerIndex Index : m_Affinity.allWarmServers(Now)) {
+    const BackendState &Row = m_Fleet.row(Index);
+    if (Row.m_Info.m_Region != m_Region &&
+        m_Fleet.exclusionReason(Row, Now) == ExclusionReason::None)
+      Remote.push_back(Index);
+  }
+  return Remote;
+}
+
 double Dispatcher::coldTokens(ServerIndex Index, Time Now) {
   ColdBucket &Bucket = m_ColdBuckets[Index];
   if (Bucket.m_RateUpdatedAt.count() == 0 ||
--- a/net/Http.h
+++ b/net/Http.h
@@ -328,6 +328,11 @@
                                    Time Deadline, bool NewConnection = false);
   asio::awaitable<HttpResult> send(std::string Address, HttpRequest Request,
                                    Time Deadline, SendOptions Options);
+  // Opens a connection to an address and pools it for the next request. Returns
+  // whether that succeeded.
+  asio::awaitable<bool> openIdleConnection(std::string Address, Time Deadline);
+  // Whether a pooled connection to an address can still be used after a time.
+  bool hasIdleConnection(const std::string &Address, Duration After) const;
   // Closes pooled connections that have passed their idle timeout.
   void closeExpiredConnections(Time Now);
   // Closes the pooled connections to an address.
@@ -356,6 +361,9 @@
   std::string m_BindIp;
   HttpClientLimits m_Limits;
   std::map<std::string, std::deque<ConnectionPtr>> m_IdleConnections;
+  // Idle timeouts that follow from the last response of each address, where
+  // they are shorter than m_MaxIdleTime.
+  std::map<std::string, Duration> m_IdleTimeouts;
 
 public:
   ~HttpClient();
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -215,6 +215,35 @@
   co_return Created;
 }
 
+asio::awaitable<bool> HttpClient::openIdleConnection(std::string Address,
+                                                     Time Deadline) {
+  ConnectionPtr Opened = co_await connect(Address, Deadline, nullptr);
+  if (!Opened)
+    co_return false;
+  auto &Pooled = m_IdleConnections[Address];
+  if (Pooled.size() >= m_Limits.m_MaxIdleConnectionsPerAddress)
+    co_return true;
+  auto Known = m_IdleTimeouts.find(Address);
+  Opened->m_Stream.expires_never();
+  Opened->m_IdleSince = now();
+  Opened->m_IdleTimeout =
+      Known == m_IdleTimeouts.end() ? m_Limits.m_MaxIdleTime : Known->second;
+  Pooled.push_back(std::move(Opened));
+  co_return true;
+}
+
+bool HttpClient::hasIdleConnection(const std::string &Address,
+                                   Duration After) const {
+  auto Pooled = m_IdleConnections.find(Address);
+  if (Pooled == m_IdleConnections.end())
+    return false;
+  Time Then = now() + After;
+  return std::any_of(Pooled->second.begin(), Pooled->second.end(),
+                     [&](const ConnectionPtr &Idle) {
+                       return Then - Idle->m_IdleSince < Idle->m_IdleTimeout;
+                     });
+}
+
 asio::awaitable<HttpResult> HttpClient::send(std::string Address,
                                              HttpRequest Request, Time Deadline,
                                              bool NewConnection) {
@@ -431,6 +460,10 @@
   Returned.m_IdleSince = now();
   Returned.m_IdleTimeout =
       idleTimeout(State.m_Result.m_Response, m_Limits.m_MaxIdleTime);
+  if (Returned.m_IdleTimeout < m_Limits.m_MaxIdleTime)
+    m_IdleTimeouts[State.m_Address] = Returned.m_IdleTimeout;
+  else
+    m_IdleTimeouts.erase(State.m_Address);
   Pooled.push_back(State.m_Connection);
 }
 
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -25,6 +25,13 @@
 constexpr Duration BackendMaxIdleTime = 8s;
 constexpr Duration BackendConnectTimeout = 400ms;
 // Allows two retransmissions over the longest path; a third would be too late.
+// Opening a connection to a nearby server takes little of a request's time.
+constexpr Duration MinPreconnectRoundTrip = 20ms;
+constexpr Duration PreconnectInterval = 250ms;
+// A pooled connection is replaced when it has less time left.
+constexpr Duration PreconnectMargin = 500ms;
+// Bounds the connections that a VM opens after a change of many servers.
+constexpr std::size_t MaxPreconnects = 16; // In one interval.
 constexpr Duration BackendTcpUserTimeout = 700ms;
 constexpr std::size_t BufferedBodyBytes = 64U << 10U;
 constexpr std::size_t MaxBackendResponseBytes = 256U << 20U;
@@ -229,6 +236,7 @@
   spawn(m_Io, tickLoop());
   spawn(m_Io, healthCheckLoop());
   spawn(m_Io, heartbeatLoop());
+  spawn(m_Io, preconnectLoop());
   return 0;
 }
 
@@ -453,6 +461,40 @@
   }
 }
 
+bool Node::preconnects(int Pool) const {
+  return m_Settings.m_MaxPipelinedRequests > 1 ||
+         m_Dispatcher.fleet().reportsSlowdown(Pool);
+}
+
+// A request to another region would otherwise pay for a round trip of its own
+// to open a connection: with many VMs and servers each pair is used too seldom
+// for a pooled connection to survive.
+asio::awaitable<void> Node::preconnectLoop() {
+  while (!m_Stopped) {
+    std::size_t Opened = 0;
+    for (ServerIndex Index : m_Dispatcher.remoteWarmServers(now())) {
+      const Fleet &Servers = m_Dispatcher.fleet();
+      const BackendState &Row = Servers.row(Index);
+      const std::string &Address = Row.m_Info.m_Address;
+      if (m_Leaving || Opened >= MaxPreconnects ||
+          !preconnects(Row.m_Info.m_Pool) ||
+          Servers.roundTrip(Row) < MinPreconnectRoundTrip ||
+          m_OpeningConnections.contains(Address) ||
+          m_BackendClient.hasIdleConnection(Address, PreconnectMargin))
+        continue;
+      ++Opened;
+      m_OpeningConnections.insert(Address);
+      m_Metrics.count("rhubarb_preconnects_total");
+      spawn(m_Io, [](Node *Self, std::string To) -> asio::awaitable<void> {
+        co_await Self->m_BackendClient.openIdleConnection(
+            To, now() + BackendConnectTimeout);
+        Self->m_OpeningConnections.erase(To);
+      }(this, Address));
+    }
+    co_await sleepFor(PreconnectInterval);
+  }
+}
+
 HealthCheckResult
 Node::classifyHealthResponse(const HttpResult &Got,
                              const BackendInfo &Server) const {
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -357,6 +357,10 @@
   Time stopTime() const;
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> healthCheckLoop();
+  // Keeps connections open to the servers of other regions that the region's
+  // objects are warm on.
+  asio::awaitable<void> preconnectLoop();
+  bool preconnects(int Pool) const;
   // Returns whether the server refused the connection: no process listens.
   asio::awaitable<bool> checkHealth(ServerIndex Index);
   HealthCheckResult classifyHealthResponse(const HttpResult &Got,
@@ -506,6 +510,7 @@
   std::unordered_multimap<ServerIndex, ExchangePtr> m_RunningAttempts;
   std::unordered_map<int, RetryBudget> m_RetryBudgets; // Keyed by pool.
   std::set<ServerIndex> m_RunningHealthChecks;
+  std::set<std::string> m_OpeningConnections; // Addresses.
   CrashSuspects m_Suspects;
   // Attempts with a cut connection, by server; whether the server has crashed
   // is being found out.
