--- a/include/rhubarb/Quota.h
+++ b/include/rhubarb/Quota.h
@@ -207,6 +207,9 @@
   // result is Wait, process() decides.
   QuotaDecision submit(OrganisationHash Organisation, RequestId Id,
                        Time WaitUntil, Time Now);
+  // Takes a token that is at hand, for a further run of a request. Returns
+  // whether there was one.
+  bool takeToken(OrganisationHash Organisation, Time Now);
   // Decides requests that wait. Call after each grant and at an interval that
   // is short compared to the timeouts.
   std::vector<QuotaWaitEnd> process(Time Now);
--- a/lib/Quota.cpp
+++ b/lib/Quota.cpp
@@ -302,6 +302,18 @@
   return Decision;
 }
 
+bool QuotaClient::takeToken(OrganisationHash Organisation, Time Now) {
+  auto Found = m_Rows.find(Organisation);
+  if (Found == m_Rows.end() || Found->second.m_Holders.empty())
+    return true;
+  Row &Of = Found->second;
+  recordArrival(Of, Now);
+  if (!Of.m_Waiting.empty() || !takeToken(Of, Now))
+    return false;
+  ++Of.m_Counts.m_Admitted;
+  return true;
+}
+
 std::vector<QuotaWaitEnd> QuotaClient::process(Time Now) {
   std::vector<QuotaWaitEnd> Ends;
   std::vector<OrganisationHash> Organisations;
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -135,6 +135,7 @@
   // Set while the request waits for a token; cancelling it wakes the request.
   std::unique_ptr<boost::asio::steady_timer> m_QuotaTimer;
   QuotaDecision m_QuotaDecision;
+  Duration m_QuotaTime{0}; // Time that the request waited for a token.
   // Set while the request is queued; cancelling it wakes the request.
   std::unique_ptr<boost::asio::steady_timer> m_QueueTimer;
   Duration m_QueueTime{0}; // Total time in the queue, over all attempts.
@@ -320,6 +321,9 @@
   // Gets a token for a request; waits for it if necessary. Returns the refusal
   // of a request beyond its organisation's quota.
   asio::awaitable<std::optional<HttpResponse>> admitByQuota(ExchangePtr Work);
+  // Takes a token for sending a request once more that may have run. Returns
+  // whether there is one; a repeat does not wait.
+  bool takeQuotaTokenForRepeat(const Exchange &Work);
   // Gives back the token of a request that no server has seen.
   void giveBackQuotaToken(Exchange &Work);
   void configureQuotas();
--- a/tools/rhubarb-node/NodeQuota.cpp
+++ b/tools/rhubarb-node/NodeQuota.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 // A request waits for a token for at most this part of its latency objective.
-constexpr int QuotaWaitDivisor = 4;
+constexpr int QuotaWaitDivisor = 2;
 // Organisations that metrics tell apart: those with the highest rates.
 constexpr std::size_t MaxQuotaLabels = 50;
 constexpr const char *OtherLabel = "other";
@@ -141,9 +141,12 @@
   }
   sendQuotaAsks();
   // The holder may be this VM, and have answered already.
-  if (m_QuotaWaiting.contains(Item.m_Id))
+  if (m_QuotaWaiting.contains(Item.m_Id)) {
+    Time Began = now();
     co_await Work->m_QuotaTimer->async_wait(
         asio::as_tuple(asio::use_awaitable));
+    Work->m_QuotaTime = now() - Began;
+  }
   if (Work->m_RequestCancellation->cancelled())
     co_return makeRefusal(*Work, ErrorKind::CallerGone, Duration{0});
   if (Decision.m_Action == QuotaAction::Refuse) {
@@ -151,7 +154,7 @@
              {{"id", Work->m_TraceId},
               {"organisation", Work->m_Organisation},
               {"reason", std::string(errorInfo(Decision.m_Error).m_Name)},
-              {"waited_ms", std::to_string((now() - Item.m_ArrivedAt) / 1ms)},
+              {"waited_ms", std::to_string(Work->m_QuotaTime / 1ms)},
               {"retry_after_ms", std::to_string(Decision.m_RetryAfter / 1ms)}});
     co_return makeRefusal(*Work, Decision.m_Error, Decision.m_RetryAfter);
   }
@@ -159,6 +162,13 @@
   co_return std::nullopt;
 }
 
+// Every run counts against the quota.
+bool Node::takeQuotaTokenForRepeat(const Exchange &Work) {
+  if (Work.m_QuotaTokenExpiresAt.count() == 0)
+    return true;
+  return m_QuotaClient.takeToken(stableHash(Work.m_Organisation), now());
+}
+
 void Node::giveBackQuotaToken(Exchange &Work) {
   if (Work.m_QuotaTokenExpiresAt.count() == 0 || Work.m_TotalAttempts > 0)
     return;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -654,6 +654,8 @@
     return "no_time_left";
   if (m_Leaving && !m_Dispatcher.endsBy(Work.m_Dispatch, stopTime(), now()))
     return "leaving";
+  if (Work.m_MayHaveRun && !takeQuotaTokenForRepeat(Work))
+    return "no_quota_token";
   bool Arrived = Attempt.m_Report.m_Outcome != AttemptOutcome::Unreachable;
   if (Arrived && !retryBudget(Work.m_Dispatch.m_Pool).tryTakeRetry()) {
     m_Metrics.countRefusal(ErrorKind::BudgetSpent, Work.m_Dispatch.m_RouteName);
@@ -767,6 +769,8 @@
        {"status", std::to_string(Status)},
        {"reason", std::string(Reason)},
        {"ms", millisText(Took)},
+       {Work.m_Organisation.empty() ? "" : "quota_ms",
+        millisText(Work.m_QuotaTime)},
        {"objective_ms", millisText(Item.m_ObjectiveAt - Item.m_ArrivedAt)},
        {"waited_ms", millisText(Work.m_QueueTime)},
        {"server", Work.m_LastServer},
