Choose quota holders by the platform's list, not by the age of processes

VMs disagreed on the holders: the ages of processes travel with full reports, which take some 20 s to reach all of 73 VMs.

Change: the holder follows from the known VMs of the region alone. A process that replaces an earlier one of its VM acts at once, as the empty buckets allow that; the platform's list tells the difference from a VM that is new, which acts from an age of 30 s, and from a first start of all VMs (7 s). A planned stop no longer hands over.

--- a/include/rhubarb/Quota.h
+++ b/include/rhubarb/Quota.h
@@ -65,20 +65,23 @@
 // A VM of a region, as far as it may act as holder.
 struct QuotaVm {
   std::string m_Vm;
-  // Age of its process; none: it has not been heard yet.
-  std::optional<Duration> m_Age;
   Duration m_SilentFor{0}; // Time since it was last heard.
 };
 
+// Why a process starts, which decides when it may act as holder.
+enum class QuotaStart : std::uint8_t {
+  First,    // The whole deployment starts for the first time.
+  Returned, // The VM was known before: its earlier process was the holder.
+  Added,    // The VM may be new to the others.
+};
+std::string_view quotaStartName(QuotaStart Value);
+
 // Which of a region's VMs are asked for tokens, and when this VM may act.
 struct QuotaHolderRules {
-  // A process is asked from this age on, and acts a little later: its
-  // predecessor has stopped by then. Clocks of VMs differ by less.
-  Duration m_MinAge = 6s;
-  Duration m_MinActingAge = 7s;
-  // In a deployment that has just started as a whole a VM acts from this age
-  // on.
-  Duration m_MinFreshAge = 1500ms;
+  // In a first start the VMs know each other after this time.
+  Duration m_FirstActingAge = 7s;
+  // A VM that is new to the others acts once they know it.
+  Duration m_AddedActingAge = 30s;
   // A silent VM may be cut off from this one only, and act for others. It is
   // replaced after this time; its successor acts later still.
   Duration m_SilentTimeout = 30s;
@@ -104,7 +107,7 @@
 };
 // Vms lists the other VMs of the region.
 QuotaActing quotaActing(const std::vector<QuotaVm> &Vms, Duration OwnAge,
-                        const QuotaHolderRules &Rules = {});
+                        QuotaStart Start, const QuotaHolderRules &Rules = {});
 
 // --- Messages
 
--- a/lib/Quota.cpp
+++ b/lib/Quota.cpp
@@ -1,6 +1,7 @@
 #include "rhubarb/Quota.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -19,30 +20,28 @@
   return Duration(static_cast<std::int64_t>(Value * MicrosPerSecond));
 }
 
-bool isOld(const QuotaVm &Vm, const QuotaHolderRules &Rules) {
-  return Vm.m_Age && *Vm.m_Age >= Rules.m_MinAge;
-}
+constexpr std::array<std::string_view, 3> StartNames{"first", "returned",
+                                                     "added"};
 
-// Returns the VMs that are old enough and not silent for longer than a time. If
-// none is old the deployment has just started, and all count.
-std::vector<std::string> eligibleVms(const std::vector<QuotaVm> &Vms,
-                                     Duration MaxSilence,
-                                     const QuotaHolderRules &Rules) {
-  bool AnyOld = std::any_of(Vms.begin(), Vms.end(), [&](const QuotaVm &Vm) {
-    return isOld(Vm, Rules) && Vm.m_SilentFor < MaxSilence;
-  });
+// Returns the VMs that are not silent for longer than a time.
+std::vector<std::string> vmsHeardWithin(const std::vector<QuotaVm> &Vms,
+                                        Duration MaxSilence) {
   std::vector<std::string> Names;
   for (const QuotaVm &Vm : Vms)
-    if (Vm.m_SilentFor < MaxSilence && (!AnyOld || isOld(Vm, Rules)))
+    if (Vm.m_SilentFor < MaxSilence)
       Names.push_back(Vm.m_Vm);
   return Names;
 }
 
 } // namespace
 
+std::string_view quotaStartName(QuotaStart Value) {
+  return StartNames[static_cast<std::size_t>(Value)];
+}
+
 std::vector<std::string> quotaCandidates(const std::vector<QuotaVm> &Vms,
                                          const QuotaHolderRules &Rules) {
-  return eligibleVms(Vms, Rules.m_SilentTimeout, Rules);
+  return vmsHeardWithin(Vms, Rules.m_SilentTimeout);
 }
 
 std::string chooseQuotaHolder(OrganisationHash Organisation,
@@ -60,23 +59,17 @@
 }
 
 QuotaActing quotaActing(const std::vector<QuotaVm> &Vms, Duration OwnAge,
-                        const QuotaHolderRules &Rules) {
+                        QuotaStart Start, const QuotaHolderRules &Rules) {
+  Duration Gone = Rules.m_SilentTimeout + Rules.m_SuccessionDelay;
   QuotaActing Acting;
-  Acting.m_Rivals =
-      eligibleVms(Vms, Rules.m_SilentTimeout + Rules.m_SuccessionDelay, Rules);
-  std::size_t Counted = 0;
-  std::size_t Heard = 0;
-  bool AnyOld = false;
-  for (const QuotaVm &Vm : Vms) {
-    if (Vm.m_SilentFor >= Rules.m_SilentTimeout + Rules.m_SuccessionDelay)
-      continue; // It is gone, and replaced.
-    ++Counted;
-    Heard += Vm.m_Age && Vm.m_SilentFor < Rules.m_IsolationTimeout ? 1 : 0;
-    AnyOld = AnyOld || isOld(Vm, Rules);
-  }
-  bool HearsHalf = Heard * 2 >= Counted;
-  Duration MinAge = AnyOld ? Rules.m_MinActingAge : Rules.m_MinFreshAge;
-  Acting.m_MayAct = HearsHalf && OwnAge >= MinAge;
+  Acting.m_Rivals = vmsHeardWithin(Vms, Gone);
+  std::size_t Heard = vmsHeardWithin(Vms, Rules.m_IsolationTimeout).size();
+  Duration MinAge{0};
+  if (Start == QuotaStart::First)
+    MinAge = Rules.m_FirstActingAge;
+  if (Start == QuotaStart::Added)
+    MinAge = Rules.m_AddedActingAge;
+  Acting.m_MayAct = Heard * 2 >= Acting.m_Rivals.size() && OwnAge >= MinAge;
   return Acting;
 }
 
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -141,6 +141,8 @@
       m_Random(stableHash(m_Settings.m_Ip)), m_TickTimer(Io),
       m_Organisations(KeyedDigest()),
       m_QuotaClient(QuotaLimits{}, stableHash(m_Settings.m_Ip)),
+      m_QuotaStart(m_Settings.m_FirstStart ? QuotaStart::First
+                                           : QuotaStart::Added),
       m_Dispatcher(m_Settings.m_Region, limitsOf(m_Settings), {},
                    stableHash(m_Settings.m_Ip)),
       m_Members(m_Settings.m_Ip, m_Settings.m_Domain, memberLimits(m_Settings)),
@@ -250,8 +252,6 @@
   constexpr Duration AcceptDuration = 3800ms;
   m_Leaving = true;
   m_LeavingSince = now();
-  m_QuotaCandidates.clear(); // The quotas that this VM holds change hands.
-  updateQuotaHolders();
   m_Dispatcher.limitQueuedDeadlines(stopTime());
   m_CallerServer.disableKeepAlive();
   m_DetourServer.disableKeepAlive();
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -67,7 +67,8 @@
   // Requests of an organisation that may run beyond its quota in the shortest
   // window in which quotas hold, summed over all VMs.
   double m_QuotaSlack = 0;
-  double m_CpuShare = 1; // CPU limit of the process in cores.
+  bool m_FirstStart = false; // The whole deployment starts for the first time.
+  double m_CpuShare = 1;     // CPU limit of the process in cores.
   // Limit of the request rate at a cold server, as a multiple of the rate that
   // the server tolerates. It is read from the settings, but not used.
   double m_MaxColdRateFactor = 1;
@@ -251,6 +252,8 @@
   // Restores the region's learned state from before this process started.
   // Affinity to servers that are not listed yet is restored once they are.
   void restoreLearnedState(LearnedState State);
+  // Records that the control plane listed this VM before this process started.
+  void recordReturned() { m_QuotaStart = QuotaStart::Returned; }
   // Adds VMs that the control plane lists.
   void addVms(const std::vector<MemberTable::ListedVm> &Listed);
 
@@ -460,6 +463,7 @@
   OrganisationTable m_Organisations;
   QuotaHolder m_QuotaHolder;
   QuotaClient m_QuotaClient;
+  QuotaStart m_QuotaStart;
   // Names of the organisations with a quota, and their labels in metrics.
   std::map<OrganisationHash, std::string> m_QuotaLabels;
   std::vector<std::string> m_QuotaRegions; // The own region first.
--- a/tools/rhubarb-node/NodeQuota.cpp
+++ b/tools/rhubarb-node/NodeQuota.cpp
@@ -63,23 +63,17 @@
   processQuotaWaits();
 }
 
-// Returns the VMs of a region other than this one, without those that have
-// stopped handing out tokens as they shut down.
+// Returns the VMs of a region other than this one.
 std::vector<QuotaVm> Node::quotaVms(const std::string &Region) const {
   std::vector<QuotaVm> Vms;
-  std::int64_t UnixNow = unixMillis();
   for (const MemberRow &Row : m_Members.rows()) {
-    if (Row.m_Report.m_Vm == m_Settings.m_Ip || regionOf(Row) != Region ||
-        Row.m_Report.m_Leaving)
+    if (Row.m_Report.m_Vm == m_Settings.m_Ip || regionOf(Row) != Region)
       continue;
     QuotaVm Vm;
     Vm.m_Vm = Row.m_Report.m_Vm;
     // Before the first heartbeat the time counts from the start of this
     // process.
     Vm.m_SilentFor = now() - std::max(Row.m_LastHeard, m_StartedAt);
-    if (Row.m_Report.m_StartTime != 0 && !Row.m_ReportMissing)
-      Vm.m_Age = std::chrono::milliseconds(
-          UnixNow - static_cast<std::int64_t>(Row.m_Report.m_StartTime));
     Vms.push_back(std::move(Vm));
   }
   return Vms;
@@ -92,12 +86,14 @@
   }
   Duration OwnAge = now() - m_StartedAt;
   std::vector<QuotaVm> Near = quotaVms(m_Settings.m_Region);
-  QuotaActing Acting = quotaActing(Near, OwnAge);
+  QuotaActing Acting = quotaActing(Near, OwnAge, m_QuotaStart);
+  // Without the list of VMs this one may take itself for the only one.
+  Acting.m_MayAct = Acting.m_MayAct && m_VmsListed;
   std::vector<std::vector<std::string>> Candidates;
   for (const std::string &Region : m_QuotaRegions) {
     std::vector<QuotaVm> Vms = quotaVms(Region);
     if (Region == m_Settings.m_Region)
-      Vms.push_back({m_Settings.m_Ip, OwnAge, Duration{0}});
+      Vms.push_back({m_Settings.m_Ip, Duration{0}});
     Candidates.push_back(quotaCandidates(Vms));
   }
   if (Candidates == m_QuotaCandidates &&
@@ -113,11 +109,13 @@
     std::vector<std::string> &Holders = m_QuotaHolders[Hash];
     for (const std::vector<std::string> &Vms : m_QuotaCandidates)
       Holders.push_back(chooseQuotaHolder(Hash, Vms));
-    bool Acts = m_QuotaActing.m_MayAct && !m_Leaving &&
+    bool Acts = m_QuotaActing.m_MayAct &&
                 chooseQuotaHolder(Hash, Rivals) == m_Settings.m_Ip;
     if (Acts != m_QuotaHolder.isActing(Hash))
       logEvent(Severity::Info, "quota_holder",
-               {{"organisation", Label}, {"acting", Acts ? "yes" : "no"}});
+               {{"organisation", Label},
+                {"acting", Acts ? "yes" : "no"},
+                {"start", std::string(quotaStartName(m_QuotaStart))}});
     m_QuotaHolder.setActing(Hash, Acts, now());
   }
 }
