Move tokens between the regions' buckets to where the demand is

Change: a holder that lacks tokens for the next half second gets them from the holders of other regions, which give what their own region does not need. A token leaves one bucket before it enters another, so the sum stays.

--- a/include/rhubarb/Quota.h
+++ b/include/rhubarb/Quota.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -56,6 +57,11 @@
   Duration m_MinRetryAfter = 50ms;
   // No request waits longer for a token.
   Duration m_MaxWait = 300ms;
+  // A holder keeps tokens for the demand expected within this time, and gets
+  // missing ones from the holders of other regions.
+  Duration m_StockFor = 500ms;
+  // Tokens that a holder keeps for the next request in any case.
+  double m_MinStock = 2;
   // Largest number of requests that wait for tokens of one organisation.
   std::size_t m_MaxWaiting = 200;
 };
@@ -140,6 +146,16 @@
   // dropped when another VM takes over.
   void setActing(OrganisationHash Organisation, bool Acting, Time Now);
   QuotaGrantRow answer(const QuotaAskRow &Ask, Time Now);
+  // Returns what to ask of the holders of each other region, so that tokens are
+  // where the demand is. Call it at an interval; the sequence number goes with
+  // the ask and comes back with the answer.
+  std::vector<QuotaAskRow> takeTransferAsks(std::uint64_t Sequence, Time Now);
+  // Gives away tokens that this region does not need. They are taken from the
+  // bucket at once, so a lost answer loses them.
+  QuotaGrantRow transfer(const QuotaAskRow &Ask, Time Now);
+  // Takes tokens of another region's holder. Each region answers an ask once.
+  void receiveTransfer(std::size_t Region, std::uint64_t Sequence,
+                       const QuotaGrantRow &Grant, Time Now);
   std::size_t buckets() const { return m_Buckets.size(); }
   bool isActing(OrganisationHash Organisation) const {
     return m_Buckets.contains(Organisation);
@@ -151,12 +167,19 @@
     Time m_RefilledAt{0};
     // When the tokens that were refused so far will have been refilled.
     Time m_ServedUntil{0};
+    double m_Demand = 0; // Tokens asked for, decayed; as of m_DemandAt.
+    Time m_DemandAt{0};
+    std::uint64_t m_TransferSequence = 0; // Of the last ask; 0: none.
+    std::set<std::size_t> m_Answered;     // Regions that have answered it.
   };
   struct Share {
     double m_PerSecond = 0;
     double m_Size = 0;
   };
   void refill(Bucket &Row, const Share &Of, Time Now) const;
+  double decayed(double Demand, Duration Age) const;
+  // Returns the tokens that a bucket should hold for its own region.
+  double wantedStock(const Bucket &Row, const Share &Of, Time Now) const;
 
   QuotaLimits m_Limits;
   std::unordered_map<OrganisationHash, Share> m_Shares;
--- a/lib/Quota.cpp
+++ b/lib/Quota.cpp
@@ -11,6 +11,8 @@
 constexpr double MicrosPerSecond = 1e6;
 // Largest number of tokens in one ask; more are asked for in turn.
 constexpr int MaxTokensPerAsk = 10'000;
+// An organisation with fewer recent asks than this is not in demand.
+constexpr double MinDemand = 0.05;
 
 double seconds(Duration Value) {
   return static_cast<double>(Value.count()) / MicrosPerSecond;
@@ -102,7 +104,7 @@
   if (!Acting || !m_Shares.contains(Organisation))
     m_Buckets.erase(Organisation);
   else
-    m_Buckets.try_emplace(Organisation, Bucket{0, Now, Now});
+    m_Buckets.try_emplace(Organisation, Bucket{0, Now, Now, 0, Now, 0, {}});
 }
 
 void QuotaHolder::refill(Bucket &Row, const Share &Of, Time Now) const {
@@ -126,6 +128,8 @@
   const Share &Of = m_Shares.at(Ask.m_Organisation);
   refill(Row, Of, Now);
   int Wanted = std::clamp(Ask.m_Tokens, 0, MaxTokensPerAsk);
+  Row.m_Demand = decayed(Row.m_Demand, Now - Row.m_DemandAt) + Wanted;
+  Row.m_DemandAt = Now;
   Grant.m_Tokens = std::min(Wanted, static_cast<int>(Row.m_Tokens));
   Row.m_Tokens -= Grant.m_Tokens;
   int Missing = Wanted - Grant.m_Tokens;
@@ -140,6 +144,69 @@
   return Grant;
 }
 
+double QuotaHolder::wantedStock(const Bucket &Row, const Share &Of,
+                                Time Now) const {
+  double PerSecond = decayed(Row.m_Demand, Now - Row.m_DemandAt) /
+                     seconds(m_Limits.m_DemandDecay);
+  return std::min(Of.m_Size, m_Limits.m_MinStock +
+                                 PerSecond * seconds(m_Limits.m_StockFor));
+}
+
+double QuotaHolder::decayed(double Demand, Duration Age) const {
+  return Demand * std::exp(-seconds(Age) / seconds(m_Limits.m_DemandDecay));
+}
+
+std::vector<QuotaAskRow> QuotaHolder::takeTransferAsks(std::uint64_t Sequence,
+                                                       Time Now) {
+  std::vector<QuotaAskRow> Rows;
+  for (auto &[Organisation, Row] : m_Buckets) {
+    const Share &Of = m_Shares.at(Organisation);
+    refill(Row, Of, Now);
+    // Without demand the tokens of this region are enough.
+    bool InDemand = decayed(Row.m_Demand, Now - Row.m_DemandAt) > MinDemand;
+    int Missing =
+        static_cast<int>(std::floor(wantedStock(Row, Of, Now) - Row.m_Tokens));
+    if (!InDemand || Missing < 1)
+      continue;
+    Row.m_TransferSequence = Sequence;
+    Row.m_Answered.clear();
+    Rows.push_back({Organisation, std::min(Missing, MaxTokensPerAsk)});
+  }
+  return Rows;
+}
+
+QuotaGrantRow QuotaHolder::transfer(const QuotaAskRow &Ask, Time Now) {
+  QuotaGrantRow Grant;
+  Grant.m_Organisation = Ask.m_Organisation;
+  auto Found = m_Buckets.find(Ask.m_Organisation);
+  Grant.m_IsHolder = Found != m_Buckets.end();
+  if (!Grant.m_IsHolder)
+    return Grant;
+  Bucket &Row = Found->second;
+  const Share &Of = m_Shares.at(Ask.m_Organisation);
+  refill(Row, Of, Now);
+  bool InDemand = decayed(Row.m_Demand, Now - Row.m_DemandAt) > MinDemand;
+  double Kept = InDemand ? wantedStock(Row, Of, Now) : 0;
+  int Spare = static_cast<int>(std::max(0.0, Row.m_Tokens - Kept));
+  Grant.m_Tokens = std::clamp(Ask.m_Tokens, 0, Spare);
+  Row.m_Tokens -= Grant.m_Tokens;
+  return Grant;
+}
+
+void QuotaHolder::receiveTransfer(std::size_t Region, std::uint64_t Sequence,
+                                  const QuotaGrantRow &Grant, Time Now) {
+  auto Found = m_Buckets.find(Grant.m_Organisation);
+  if (Found == m_Buckets.end() || Sequence == 0 ||
+      Found->second.m_TransferSequence != Sequence ||
+      !Found->second.m_Answered.insert(Region).second)
+    return;
+  Bucket &Row = Found->second;
+  const Share &Of = m_Shares.at(Grant.m_Organisation);
+  refill(Row, Of, Now);
+  int Tokens = std::clamp(Grant.m_Tokens, 0, MaxTokensPerAsk);
+  Row.m_Tokens = std::min(Of.m_Size, Row.m_Tokens + Tokens);
+}
+
 // --- Client
 
 void QuotaClient::configure(const std::vector<QuotaRate> &Rates,
--- a/net/QuotaMessages.h
+++ b/net/QuotaMessages.h
@@ -16,12 +16,19 @@
 inline constexpr const char *QuotaAskMethod = "quota_ask";
 inline constexpr const char *QuotaGrantMethod = "quota_grant";
 
+// What tokens are asked for.
+enum class QuotaAskKind : std::uint8_t {
+  Requests, // Requests of the asking node.
+  Stock,    // The bucket of the asking holder.
+};
+
 // Asks one holder for tokens.
 struct QuotaAskMessage {
   // The asking node's number of the holder's region. Returned with the answer.
   std::size_t m_Region = 0;
   std::uint64_t m_Sequence = 0; // Returned with the answer.
   std::vector<QuotaAskRow> m_Rows;
+  QuotaAskKind m_Kind = QuotaAskKind::Requests; // Returned with the answer.
 };
 
 // Answers rows of an ask.
@@ -29,6 +36,7 @@
   std::size_t m_Region = 0;
   std::uint64_t m_Sequence = 0;
   std::vector<QuotaGrantRow> m_Rows;
+  QuotaAskKind m_Kind = QuotaAskKind::Requests;
 };
 
 // Encode notifications that each fit into a datagram.
