--- a/net/QuotaMessages.cpp
+++ b/net/QuotaMessages.cpp
@@ -9,8 +9,8 @@
 
 using Json::Value;
 
-// Schema version, region and sequence number come before the rows.
-constexpr Json::ArrayIndex HeaderFields = 3;
+// Schema version, region, sequence number and kind come before the rows.
+constexpr Json::ArrayIndex HeaderFields = 4;
 constexpr Json::ArrayIndex AskFields = 2;
 constexpr Json::ArrayIndex GrantFields = 4;
 // A row takes up to 45 bytes, so that these fit into a datagram.
@@ -29,12 +29,13 @@
 template <class Row, class Encoder>
 std::vector<std::string>
 encodeRows(const char *Method, std::size_t Region, std::uint64_t Sequence,
-           const std::vector<Row> &Rows, Encoder EncodeRow) {
+           QuotaAskKind Kind, const std::vector<Row> &Rows, Encoder EncodeRow) {
   std::vector<std::string> Texts;
   Value Params(Json::arrayValue);
   Params.append(SchemaVersion);
   Params.append(static_cast<Json::UInt64>(Region));
   Params.append(static_cast<Json::UInt64>(Sequence));
+  Params.append(static_cast<int>(Kind));
   for (std::size_t I = 0; I < Rows.size(); ++I) {
     Params.append(EncodeRow(Rows[I]));
     if (Params.size() < HeaderFields + RowsPerDatagram && I + 1 < Rows.size())
@@ -45,11 +46,17 @@
   return Texts;
 }
 
+QuotaAskKind readKind(const Value &Json) {
+  return Json.asInt() == static_cast<int>(QuotaAskKind::Stock)
+             ? QuotaAskKind::Stock
+             : QuotaAskKind::Requests;
+}
+
 } // namespace
 
 std::vector<std::string> encodeQuotaAsk(const QuotaAskMessage &Message) {
   return encodeRows(QuotaAskMethod, Message.m_Region, Message.m_Sequence,
-                    Message.m_Rows, [](const QuotaAskRow &Row) {
+                    Message.m_Kind, Message.m_Rows, [](const QuotaAskRow &Row) {
                       Value Fields(Json::arrayValue);
                       Fields.append(
                           static_cast<Json::UInt64>(Row.m_Organisation));
@@ -60,8 +67,8 @@
 
 std::vector<std::string> encodeQuotaGrant(const QuotaGrantMessage &Message) {
   return encodeRows(
-      QuotaGrantMethod, Message.m_Region, Message.m_Sequence, Message.m_Rows,
-      [](const QuotaGrantRow &Row) {
+      QuotaGrantMethod, Message.m_Region, Message.m_Sequence, Message.m_Kind,
+      Message.m_Rows, [](const QuotaGrantRow &Row) {
         Value Fields(Json::arrayValue);
         Fields.append(static_cast<Json::UInt64>(Row.m_Organisation));
         Fields.append(Row.m_Tokens);
@@ -76,6 +83,7 @@
   QuotaAskMessage Message;
   Message.m_Region = static_cast<std::size_t>(Json[1].asUInt64());
   Message.m_Sequence = Json[2].asUInt64();
+  Message.m_Kind = readKind(Json[3]);
   for (Json::ArrayIndex I = HeaderFields; I < Json.size(); ++I) {
     requireArray(Json[I], AskFields);
     Message.m_Rows.push_back(
@@ -89,6 +97,7 @@
   QuotaGrantMessage Message;
   Message.m_Region = static_cast<std::size_t>(Json[1].asUInt64());
   Message.m_Sequence = Json[2].asUInt64();
+  Message.m_Kind = readKind(Json[3]);
   for (Json::ArrayIndex I = HeaderFields; I < Json.size(); ++I) {
     requireArray(Json[I], GrantFields);
     Message.m_Rows.push_back({Json[I][0].asUInt64(),
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -384,6 +384,7 @@
       sendServerUpdates();
       sendRateLimitUpdates(true);
       updateQuotaHolders();
+      sendQuotaTransferAsks();
       countQuotas();
       m_Suspects.tick(Now);
       sendSuspectUpdates(true);
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -334,6 +334,8 @@
   void updateQuotaHolders();
   std::vector<QuotaVm> quotaVms(const std::string &Region) const;
   void sendQuotaAsks();
+  // Asks the other regions' holders for tokens that this VM's buckets lack.
+  void sendQuotaTransferAsks();
   // Wakes requests whose wait for a token has ended.
   void processQuotaWaits();
   void handleQuotaAsk(const Json::Value &Params, const std::string &PeerIp);
@@ -467,6 +469,7 @@
   // Names of the organisations with a quota, and their labels in metrics.
   std::map<OrganisationHash, std::string> m_QuotaLabels;
   std::vector<std::string> m_QuotaRegions; // The own region first.
+  std::uint64_t m_QuotaTransferSequence = 0;
   // Candidates for holders by region, as in m_QuotaRegions, and the holders
   // that follow from them.
   std::vector<std::vector<std::string>> m_QuotaCandidates;
--- a/tools/rhubarb-node/NodeQuota.cpp
+++ b/tools/rhubarb-node/NodeQuota.cpp
@@ -206,6 +206,27 @@
   processQuotaWaits();
 }
 
+void Node::sendQuotaTransferAsks() {
+  std::vector<QuotaAskRow> Rows =
+      m_QuotaHolder.takeTransferAsks(++m_QuotaTransferSequence, now());
+  // Messages by region and holder.
+  std::map<std::pair<std::size_t, std::string>, QuotaAskMessage> Messages;
+  for (const QuotaAskRow &Row : Rows) {
+    const std::vector<std::string> &Holders =
+        m_QuotaHolders[Row.m_Organisation];
+    for (std::size_t Region = 1; Region < Holders.size(); ++Region)
+      if (!Holders[Region].empty())
+        Messages[{Region, Holders[Region]}].m_Rows.push_back(Row);
+  }
+  for (auto &[To, Message] : Messages) {
+    Message.m_Region = To.first;
+    Message.m_Sequence = m_QuotaTransferSequence;
+    Message.m_Kind = QuotaAskKind::Stock;
+    for (const std::string &Text : encodeQuotaAsk(Message))
+      m_Datagrams.send(To.second, m_Settings.m_PeerPort, Text);
+  }
+}
+
 void Node::processQuotaWaits() {
   for (const QuotaWaitEnd &End : m_QuotaClient.process(now())) {
     auto Found = m_QuotaWaiting.find(End.m_Id);
@@ -226,14 +247,23 @@
   QuotaGrantMessage Grant;
   Grant.m_Region = Ask.m_Region;
   Grant.m_Sequence = Ask.m_Sequence;
+  Grant.m_Kind = Ask.m_Kind;
   for (const QuotaAskRow &Row : Ask.m_Rows)
-    Grant.m_Rows.push_back(m_QuotaHolder.answer(Row, now()));
+    Grant.m_Rows.push_back(Ask.m_Kind == QuotaAskKind::Stock
+                               ? m_QuotaHolder.transfer(Row, now())
+                               : m_QuotaHolder.answer(Row, now()));
   for (const std::string &Text : encodeQuotaGrant(Grant))
     m_Datagrams.send(PeerIp, m_Settings.m_PeerPort, Text);
 }
 
 void Node::handleQuotaGrant(const Json::Value &Params) {
   QuotaGrantMessage Grant = readQuotaGrant(Params);
+  if (Grant.m_Kind == QuotaAskKind::Stock) {
+    for (const QuotaGrantRow &Row : Grant.m_Rows)
+      m_QuotaHolder.receiveTransfer(Grant.m_Region, Grant.m_Sequence, Row,
+                                    now());
+    return;
+  }
   m_QuotaClient.applyGrant(Grant.m_Region, Grant.m_Sequence, Grant.m_Rows,
                            now());
   processQuotaWaits();
