--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -108,9 +108,11 @@
 }
 
 void ServiceTimes::recordPool(int Pool, Duration RunTime) {
-  auto [Mean, Added] = m_PoolUs.try_emplace(Pool, toMicros(RunTime));
+  // A response can be faster than the estimated round trip.
+  double Micros = std::max(1.0, toMicros(RunTime));
+  auto [Mean, Added] = m_PoolUs.try_emplace(Pool, Micros);
   if (!Added)
-    Mean->second += PoolMeanWeight * (toMicros(RunTime) - Mean->second);
+    Mean->second += PoolMeanWeight * (Micros - Mean->second);
 }
 
 Dispatcher::Dispatcher(std::string Region, DispatchLimits Limits,
@@ -408,9 +410,13 @@
                                         toMicros(Urgent.m_Spare));
     }
   double Mean = toMicros(m_Times.poolMean(Request.m_Pool)) * Slowdown;
+  // Until a run time of the pool is measured, requests ahead are assumed to
+  // take as long as this one.
+  if (Mean <= 0)
+    Mean = RunTime;
   // A server whose responses are overdue has turned slow.
   if (Row.m_OwnRequests > 0)
-    Mean = std::max(Mean, toMicros(Now - Row.m_SilentSince));
+    Mean = std::max(Mean, toMicros(Now - Row.m_SilentSince) - RoundTrip);
   if (CanWait <= 0 || Mean <= 0)
     return 0;
   double Depth = CanWait / Mean * Row.m_Info.m_Slots;
@@ -455,7 +461,8 @@
   if (m_Fleet.reportsSlowdown(Request.m_Pool)) {
     double Slowdown = m_Fleet.slowdown(Row, Now);
     ServiceTime *= Slowdown;
-    TimeOfOneAhead = toMicros(m_Times.poolMean(Request.m_Pool)) * Slowdown;
+    double Mean = toMicros(m_Times.poolMean(Request.m_Pool)) * Slowdown;
+    TimeOfOneAhead = Mean > 0 ? Mean : ServiceTime;
   }
   Decision.m_ExpectedTime =
       m_Fleet.roundTrip(Row) +
--- a/lib/Fleet.cpp
+++ b/lib/Fleet.cpp
@@ -54,6 +54,32 @@
   Minimum = Minimum.count() == 0 ? Measured : std::min(Minimum, Measured);
 }
 
+// Updates the longest queue that servers of a pool accept. A shorter one at a
+// refusal moves it down step by step: servers may have been replaced, but a
+// single server that refuses early must not close the others. What a server has
+// accepted raises it again, so that an early refusal has no lasting effect.
+void updateFullQueue(std::map<int, int> &Lengths, const BackendState &Row,
+                     const AttemptReport &Report, bool Ran) {
+  constexpr int StepShare = 4;
+  int Waiting = Report.m_Load.m_Waiting;
+  // A server that leaves, pauses or limits its rate refuses with room left.
+  bool IsFull = Report.m_Outcome == AttemptOutcome::Refused &&
+                Report.m_Load.m_Running >= Row.m_Info.m_Slots &&
+                !Report.m_Leaving && Report.m_BackoffFor.count() == 0 &&
+                !Row.m_RateLimited;
+  auto Known = Lengths.find(Row.m_Info.m_Pool);
+  if (Known == Lengths.end()) {
+    if (IsFull)
+      Lengths.emplace(Row.m_Info.m_Pool, Waiting);
+    return;
+  }
+  int &Length = Known->second;
+  if ((IsFull || Ran) && Waiting >= Length)
+    Length = Waiting;
+  else if (IsFull)
+    Length -= std::max(1, (Length - Waiting) / StepShare);
+}
+
 } // namespace
 
 double coldRequestRate(const std::string &ServerId, const std::string &Self,
@@ -591,12 +617,7 @@
                                 (Ran ? 1 : 0));
     updateLoad(Index, Total, Now);
     updateSlowdown(Index, Report.m_Load.m_RunTimePercent, Now);
-    bool IsFull = Report.m_Outcome == AttemptOutcome::Refused &&
-                  Report.m_Load.m_Running >= Row.m_Info.m_Slots;
-    if (IsFull) {
-      int &Length = m_FullQueues[Row.m_Info.m_Pool];
-      Length = std::max(Length, Report.m_Load.m_Waiting);
-    }
+    updateFullQueue(m_FullQueues, Row, Report, Ran);
     double &Average = m_AverageLoads[Row.m_Group];
     Average +=
         m_Limits.m_AverageLoadWeight *
