Check organisations, keys and a quota in the soak

Callers send known, unknown, withdrawn, several and no keys, and forged fields. Servers check the fields and the regions of what they run; responses are checked against the time at which the store accepted a key. The fault keys replaces a key.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -63,6 +63,7 @@
     {"config", FaultTarget::Operator},
     {"config_storm", FaultTarget::Operator},
     {"evacuate", FaultTarget::Operator},
+    {"keys", FaultTarget::Operator},
 };
 
 // Mean time between the starts of two faults.
@@ -71,6 +72,8 @@
 constexpr Duration GracePeriod = 6s;
 // Longest time from a node's end until its next process serves requests.
 constexpr Duration RestartTime = 1s;
+// Longest time of a fault of nodes or the store.
+constexpr Duration MaxFaultTime = 5s;
 constexpr Duration DeadlyCallsTime = 9s;
 // Time for which nodes are cut off from the servers.
 constexpr Duration MinCutTime = 7s;
@@ -94,8 +97,11 @@
   return Names;
 }
 
-std::vector<std::string> chooseFaults(const std::string &List) {
+std::vector<std::string> chooseFaults(const std::string &List,
+                                      bool HasOrganisations) {
   std::vector<std::string> All = faultNames();
+  if (!HasOrganisations)
+    std::erase(All, "keys");
   if (List == "all")
     return All;
   if (List == "none")
@@ -152,6 +158,11 @@
     case FaultTarget::Node:
     case FaultTarget::Store: {
       Time StartedAt = now();
+      // Beside these faults every VM hears of new keys.
+      if (Name != "node_kill" && Name != "node_term" && Name != "node_hup" &&
+          Name != "store_refuses_one")
+        m_Site.organisations().excuseKeys(now() + MaxFaultTime +
+                                          site::StableWindow);
       if (Spec.m_Target == FaultTarget::Node)
         co_await injectNodeFault(Name);
       else
@@ -390,6 +401,8 @@
 asio::awaitable<void> FaultInjector::injectOperatorFault(std::string Name) {
   if (Name == "config") {
     m_Site.changeConfig();
+  } else if (Name == "keys") {
+    m_Site.changeKeys();
   } else if (Name == "config_storm") {
     for (int I = 0; I < 10; ++I) {
       m_Site.changeConfig();
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -23,7 +23,7 @@
     "               [--nodes=N] [--rate=N] [--net=NET] [--dir=DIR]\n"
     "               [--served=PERCENT] [--refused=PERCENT]\n"
     "               [--limit-use=PERCENT] [--long-rate=N]\n"
-    "               [--node-before=FILE]\n"
+    "               [--organisations=N] [--node-before=FILE]\n"
     "  rhubarb-soak --list\n"
     "  rhubarb-soak (-h | --help)\n\n"
     "Options:\n"
@@ -49,6 +49,8 @@
     "                    [default: 0].\n"
     "  --long-rate=N     The same as --rate for calls that run for seconds\n"
     "                    [default: 0].\n"
+    "  --organisations=N  Organisations with API keys; with 0 callers need no\n"
+    "                    key and there is no fault keys [default: 0].\n"
     "  --list            List the faults.\n"
     "  -h --help         Show this text.\n\n"
     "Exit codes: 0 all guarantees held, 1 a guarantee was violated,\n"
@@ -99,6 +101,10 @@
             << Counts.m_Failed << "\n";
   for (const auto &[Outcome, Count] : Counts.m_ByOutcome)
     std::cout << "  " << Outcome << ": " << Count << "\n";
+  if (Deployment.organisations().enabled())
+    std::cout << "limited organisation: at most "
+              << Deployment.organisations().mostLimitedRuns()
+              << " runs in 5 s\n";
   std::vector<std::string> Violations = Deployment.verify();
   for (const std::string &Line : Nodes.unexpectedExits())
     Violations.push_back(Line);
@@ -125,8 +131,11 @@
     return ExitOk;
   }
   RunPlan Plan;
-  Plan.m_Faults = soak::chooseFaults(Arguments.value("--faults"));
   site::SiteSettings Settings;
+  Settings.m_Organisations =
+      static_cast<int>(parseInteger(Arguments.value("--organisations"), 0));
+  Plan.m_Faults = soak::chooseFaults(Arguments.value("--faults"),
+                                     Settings.m_Organisations > 0);
   Settings.m_Seed =
       static_cast<std::uint64_t>(parseInteger(Arguments.value("--seed"), 1));
   Settings.m_AddressPrefix = Arguments.value("--net");
--- a/standins/site/Callers.cpp
+++ b/standins/site/Callers.cpp
@@ -31,7 +31,8 @@
 }
 
 bool guaranteesNotRun(int Status) {
-  return Status == 503 || Status == 429 || Status == 408 || Status == 421;
+  return Status == 503 || Status == 429 || Status == 408 || Status == 421 ||
+         Status == 401;
 }
 
 } // namespace
@@ -137,6 +138,8 @@
       {m_Names.m_Deadline,
        std::to_string(Remaining / std::chrono::milliseconds(1))}};
   Request.m_Body = std::string(Class.m_BodyBytes, 'b');
+  m_Settings.m_Organisations->prepareCall(
+      Request, Id, Address.substr(0, Address.rfind(':')), now());
   m_CallRecords[Id].m_Idempotent = Class.m_Idempotent;
   ++countsOf(Class).m_Sent;
   bool Abandons = m_Random.uniform() < AbandonShare;
@@ -173,6 +176,7 @@
           .m_ByOutcome[std::string(httpFailureName(CallResult.m_Failure))];
     return;
   }
+  m_Settings.m_Organisations->recordResponse(Id, Response, now());
   ++countsOf(Class).m_ByOutcome[std::to_string(Response.m_Status) + " " +
                                 std::string(Response.header("Rhubarb-Reason"))];
   if (Response.m_Status == 200) {
--- a/standins/site/Callers.h
+++ b/standins/site/Callers.h
@@ -3,6 +3,7 @@
 // response has to meet.
 #pragma once
 
+#include "standins/site/OrganisationCheck.h"
 #include "standins/site/Servers.h"
 
 #include <vector>
@@ -31,6 +32,8 @@
   // Address (ip:port) of the lookup service of every node.
   std::vector<std::string> m_LookupAddresses;
   std::vector<CallClass> m_Classes;
+  // Adds API keys to the calls; never null.
+  OrganisationCheck *m_Organisations = nullptr;
 };
 
 // Numbers of calls by outcome.
--- a/standins/site/Servers.cpp
+++ b/standins/site/Servers.cpp
@@ -233,6 +233,8 @@
   Record.m_Service = m_Profile.m_Service;
   Record.m_Method = Request.m_Method;
   Record.m_LastRun = now();
+  if (m_OnRun)
+    m_OnRun(Request, RequestId);
   if (m_OnDeadlyRun && Request.m_Target.find(DeadlyTarget) != std::string::npos)
     m_OnDeadlyRun();
   std::string Object(Request.header("Cookie"));
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -3,6 +3,7 @@
 #include "net/Clock.h"
 #include "net/Daemon.h"
 #include "net/Messages.h"
+#include "net/Text.h"
 
 #include <algorithm>
 #include <cmath>
@@ -56,8 +57,9 @@
 } // namespace
 
 Site::Site(asio::io_context &Io, SiteSettings Settings)
-    : m_Io(Io), m_Settings(std::move(Settings)), m_Store(Io, m_Settings.m_Seed),
-      m_Random(m_Settings.m_Seed + 2) {
+    : m_Io(Io), m_Settings(std::move(Settings)),
+      m_Organisations(m_Settings.m_Organisations, m_Settings.m_Seed + 3),
+      m_Store(Io, m_Settings.m_Seed), m_Random(m_Settings.m_Seed + 2) {
   CallerSettings Callers;
   Callers.m_Host = Host;
   Callers.m_Domains = m_Settings.m_Domains;
@@ -72,6 +74,10 @@
   if (m_Settings.m_LongCallsPerSecond > 0)
     Callers.m_Classes.push_back({std::string(LongTarget), "POST", false,
                                  m_Settings.m_LongCallsPerSecond, 8s, 20, 0});
+  if (m_Organisations.enabled())
+    Callers.m_Classes.push_back(
+        {std::string(PublicPrefix), "GET", true, Rate, 3s, 20, 0});
+  Callers.m_Organisations = &m_Organisations;
   m_Callers = std::make_unique<SiteCallers>(Io, m_Records, std::move(Callers),
                                             m_Settings.m_Seed + 1);
 }
@@ -128,6 +134,18 @@
     m_DeadlyRuns.push_back(now());
     spawn(m_Io, crashForAWhile(Index));
   });
+  if (m_Organisations.enabled())
+    m_Servers.back()->onRun(
+        [this, Domain](const HttpRequest &Request, const std::string &Id) {
+          // The third number of a VM's address is that of its domain, from 1.
+          std::string VmIp =
+              Request.m_PeerIp.substr(0, Request.m_PeerIp.rfind('.'));
+          auto Vm = static_cast<std::size_t>(
+              parseInteger(VmIp.substr(VmIp.rfind('.') + 1), 1) - 1);
+          m_Organisations.recordRun(
+              Request, Id, m_Settings.m_RegionOf.at(Domain),
+              m_Settings.m_RegionOf.at(m_Settings.m_Domains.at(Vm)), now());
+        });
   Bound = m_Servers.back()->start();
   if (!Bound)
     return Bound.error();
@@ -164,6 +182,13 @@
   Long["timeout"] = "8000ms";
   Long["target_latency"] = "6000ms";
   Entry["paths"].append(Long);
+  if (m_Organisations.enabled()) {
+    Json::Value Open =
+        makeRoute("open", PublicPrefix.data(), true, 1, Services[0]);
+    Open["public"] = true;
+    Entry["paths"].append(Open);
+    Json["tenants"] = m_Organisations.tenants();
+  }
   Json["virtual_hosts"].append(Entry);
   return compactJson(Json);
 }
@@ -174,6 +199,12 @@
   writeConfig();
 }
 
+void Site::changeKeys() {
+  m_Version += 2;
+  m_Organisations.replaceKey(now());
+  writeConfig();
+}
+
 void Site::writeConfig() {
   m_Store.put(platform::ConfigKey, configText());
   m_ConfigHistory.emplace_back(now(), Services[m_RouteMoved ? 0 : 1]);
@@ -352,6 +383,8 @@
   Text += "bounds.retry_slack=60\nbounds.cold_over=1.5\nbounds.ttl_max=5s\n";
   Text += "provider.address=" + storeIp(m_Settings) + ":" +
           std::to_string(StoreProxyPort) + "\nprovider.ttl_min=1000ms\n";
+  if (m_Organisations.enabled())
+    Text += "bounds.quota_slack=" + std::to_string(QuotaSlack) + "\n";
   return Text;
 }
 
@@ -509,6 +542,8 @@
   verifyRateLimits(Violations);
   verifyConfig(Violations);
   verifyEvacuations(Violations);
+  for (std::string &Text : m_Organisations.violations())
+    Violations.push_back(std::move(Text));
   for (const auto &Server : m_Servers)
     for (Time At : Server->lateArrivals(DrainBound))
       if (!overlapsDisturbance(Server->withdrawnAt(), At))
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -25,6 +25,8 @@
   // The same for calls that run for some seconds; they must not be repeated.
   double m_LongCallsPerSecond = 0;
   std::uint64_t m_Seed = 1;
+  // Organisations with API keys; 0: callers need no key.
+  int m_Organisations = 0;
 };
 
 // Time bounds of the system. DrainBound and ConfigBound equal bounds.drain and
@@ -61,6 +63,8 @@
   // Publishes a new configuration version as the operator. Each call moves the
   // last route to the other service or back.
   void changeConfig();
+  // Publishes a new configuration version with a key withdrawn and one added.
+  void changeKeys();
   void setEvacuated(const std::string &Domain, bool Evacuated);
   // Restores the store from a copy. What the copy lacks, or has though it is
   // gone, is written again by operator and servers within RewriteTime.
@@ -107,6 +111,8 @@
   // Returns every violated guarantee.
   std::vector<std::string> verify() const;
   const CallCounts &counts() const { return m_Callers->counts(); }
+  OrganisationCheck &organisations() { return m_Organisations; }
+  const OrganisationCheck &organisations() const { return m_Organisations; }
 
 private:
   std::string configText() const;
@@ -126,6 +132,7 @@
   asio::io_context &m_Io;
   SiteSettings m_Settings;
   RunRecords m_Records;
+  OrganisationCheck m_Organisations;
   KvStore m_Store;
   std::unique_ptr<FaultProxy> m_StoreProxy;
   std::vector<std::unique_ptr<FaultProxy>> m_ServerProxies;
