Spend the quota token of a request that ran through another VM

A VM that is cut off from the servers sends requests through other VMs without an attempt of its own. It took that for a request refused before any attempt and gave the token back to its stock, so that one token admitted request after request for 400 ms. The token is now spent if a server may have run the request.

--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -175,6 +175,10 @@
     int Status = Got.m_Response.m_Status;
     std::string Reason(Got.m_Response.header("Rhubarb-Reason"));
     DetourOutcome Outcome = classifyDetour(*Work, Got, Response);
+    // The token is spent if a server may have run the request.
+    if (Outcome == DetourOutcome::Broken ||
+        (Response && refusalKind(*Response) == ErrorKind::None))
+      Work->m_QuotaTokenExpiresAt = Time{0};
     // A caller that leaves says nothing about the VM.
     if (Got.m_Failure != HttpFailure::Cancelled)
       m_Detours.record(Pool, Vm, Outcome, now());
