Check keys before each detour and refuse unknown organisations there

Three faults of requests with organisations, found by reading: - A request whose key was withdrawn while it waited for a token or ran an attempt went through another VM unchecked. The key is now checked before each try of a detour. - A VM that had no row of the organisation named by the first VM ran the request in any region of its route. It now refuses with no_configuration, after which the first VM asks others. - A queued request on a public route, whose key no organisation held, got 401 once the key was added. It now runs without an organisation.

--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -166,6 +166,11 @@
 asio::awaitable<std::optional<HttpResponse>> Node::detour(ExchangePtr Work) {
   int Pool = Work->m_Dispatch.m_Pool;
   for (int Try = 1; Try <= MaxDetourTries; ++Try) {
+    // The VM that gets the request does not check the key again.
+    if (!keepsOrganisation(*Work)) {
+      Work->m_Decision.m_Action = DispatchAction::Refuse;
+      co_return makeRefusal(*Work, ErrorKind::UnknownApiKey, Duration{0});
+    }
     std::string Vm = m_Detours.choose(Pool, detourCandidates(*Work), now());
     if (Vm.empty())
       break;
--- a/tools/rhubarb-node/NodeOrganisations.cpp
+++ b/tools/rhubarb-node/NodeOrganisations.cpp
@@ -27,6 +27,9 @@
   const Organisation *Holder = nullptr;
   if (Work.m_KeyChecked) {
     Holder = m_Organisations.findByName(Work.m_Organisation);
+    // Without its row the organisation's allowed regions are not known.
+    if (Holder == nullptr && !Work.m_Organisation.empty())
+      return makeRefusal(Work, ErrorKind::NoConfiguration, Duration{0});
   } else if (!m_Organisations.empty()) {
     if (auto Key = apiKey(Work.m_Request))
       Holder = m_Organisations.findByKey(*Key);
@@ -49,14 +52,13 @@
 }
 
 bool Node::keepsOrganisation(const Exchange &Work) const {
-  if (Work.m_KeyChecked || m_Organisations.empty())
+  if (Work.m_KeyChecked || m_Organisations.empty() ||
+      (Work.m_Public && Work.m_Organisation.empty()))
     return true;
   const Organisation *Holder = nullptr;
   if (auto Key = apiKey(Work.m_Request))
     Holder = m_Organisations.findByKey(*Key);
-  if (Holder == nullptr)
-    return Work.m_Public && Work.m_Organisation.empty();
-  return Holder->m_Name == Work.m_Organisation;
+  return Holder != nullptr && Holder->m_Name == Work.m_Organisation;
 }
 
 void Node::refuseWithdrawnKeys() {
