--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -166,6 +166,11 @@
 asio::awaitable<std::optional<HttpResponse>> Node::detour(ExchangePtr Work) {
   int Pool = Work->m_Dispatch.m_Pool;
   for (int Try = 1; Try <= MaxDetourTries; ++Try) {
+    // The VM that gets the request does not check the key again.
+    if (!keepsOrganisation(*Work)) {
+      Work->m_Decision.m_Action = DispatchAction::Refuse;
+      co_return makeRefusal(*Work, ErrorKind::UnknownApiKey, Duration{0});
+    }
     std::string Vm = m_Detours.choose(Pool, detourCandidates(*Work), now());
     if (Vm.empty())
       break;
@@ -175,6 +180,10 @@
     int Status = Got.m_Response.m_Status;
     std::string Reason(Got.m_Response.header("Rhubarb-Reason"));
     DetourOutcome Outcome = classifyDetour(*Work, Got, Response);
+    // The token is spent if a server may have run the request.
+    if (Outcome == DetourOutcome::Broken ||
+        (Response && refusalKind(*Response) == ErrorKind::None))
+      Work->m_QuotaTokenExpiresAt = Time{0};
     // A caller that leaves says nothing about the VM.
     if (Got.m_Failure != HttpFailure::Cancelled)
       m_Detours.record(Pool, Vm, Outcome, now());
