Quotas: one acting holder under partitions, repeated asks, wait limits

- VMs that had been silent for 40 s were no longer counted, so that an isolated VM or minority acted as holder again beside its successor.
Silent VMs are now discounted only if at least as many were still heard when they fell silent.
A VM that was cut off acts again 5 s after it hears the others; a VM from which no report has arrived counts as a rival.
- A request behind one with a later limit waited beyond its own limit.
- While the nearest holder was being asked, farther ones were asked for requests that arrived meanwhile.
Asks are repeated with their sequence number, and the holder repeats its answer.
Nothing is asked for ahead while a holder is empty.

In the node: a region without a name no longer counts as a share, grants from unknown VMs are ignored, a leaving VM does not ask itself, and a reload of the settings applies the slack and the regions.

--- a/include/rhubarb/Quota.h
+++ b/include/rhubarb/Quota.h
@@ -84,8 +84,12 @@
   Duration m_SilentTimeout = 30s;
   Duration m_SuccessionDelay = 10s;
   // A VM that hears less than half of its region for this long stops acting, as
-  // the others may have replaced it.
+  // the others may have replaced it. VMs that fell silent one after the other,
+  // this far apart, have ended; those that did so together may be cut off.
   Duration m_IsolationTimeout = 20s;
+  // A VM that was cut off acts again this long after it hears the others: those
+  // that act in its place have heard it by then.
+  Duration m_RejoinDelay = 5s;
 };
 
 // Returns the VMs of a region that may be asked for tokens.
@@ -98,12 +102,16 @@
 
 // Says for which organisations this VM acts as holder in its region.
 struct QuotaActing {
-  // VMs that this VM must outrank: candidates, and those replaced just now.
+  // VMs that this VM must outrank: candidates, those replaced just now, and
+  // those from which no report has arrived, as they may act unknown to it.
   std::vector<std::string> m_Rivals;
   bool m_MayAct = false;
+  bool m_IsIsolated = false; // It may have been replaced unknown to it.
 };
-// Vms lists the other VMs of the region.
+// Vms lists the other VMs of the region; SinceIsolated is the time since the
+// result was last isolated.
 QuotaActing quotaActing(const std::vector<QuotaVm> &Vms, Duration OwnAge,
+                        Duration SinceIsolated,
                         const QuotaHolderRules &Rules = {});
 
 // --- Messages
@@ -136,24 +144,38 @@
   // Sets whether this VM acts for an organisation. A bucket starts empty and is
   // dropped when another VM takes over.
   void setActing(OrganisationHash Organisation, bool Acting, Time Now);
-  QuotaGrantRow answer(const QuotaAskRow &Ask, Time Now);
+  // Answers a row of an ask. An ask that is repeated within the lifetime of its
+  // tokens gets the same answer again, so that a lost answer loses no tokens.
+  // Sequence 0: it is never repeated.
+  QuotaGrantRow answer(const QuotaAskRow &Ask, Time Now,
+                       std::uint64_t Asker = 0, std::uint64_t Sequence = 0);
   std::size_t buckets() const { return m_Buckets.size(); }
   bool isActing(OrganisationHash Organisation) const {
     return m_Buckets.contains(Organisation);
   }
 
 private:
+  struct Answered {
+    std::uint64_t m_Sequence = 0;
+    Time m_At{0};
+    QuotaGrantRow m_Grant;
+  };
   struct Bucket {
     double m_Tokens = 0; // As of m_RefilledAt.
     Time m_RefilledAt{0};
     // When the tokens that were refused so far will have been refilled.
     Time m_ServedUntil{0};
+    // The last answer to each asker.
+    std::unordered_map<std::uint64_t, Answered> m_Answers;
+    Time m_AnswersEvictedAt{0};
   };
   struct Share {
     double m_PerSecond = 0;
     double m_Size = 0;
   };
   void refill(Bucket &Row, const Share &Of, Time Now) const;
+  QuotaGrantRow take(Bucket &Row, const Share &Of, const QuotaAskRow &Ask,
+                     Time Now) const;
 
   QuotaLimits m_Limits;
   std::unordered_map<OrganisationHash, Share> m_Shares;
@@ -230,9 +252,11 @@
       std::uint64_t m_Sequence = 0;
       Time m_At{0};
       int m_Tokens = 0;
+      bool m_RepeatDue = false;
     };
     Asked m_Asked;
-    // The last ask that was not answered in time. Its tokens can still be used.
+    // The last ask that was not answered in time. It is repeated, and its
+    // tokens can still be used.
     Asked m_Late;
     Time m_EmptyUntil{0};
     Time m_SaidEmptyAt{0}; // 0: it has never been without tokens.
@@ -268,6 +292,8 @@
   // Whether no holder can give a token now, and none is being asked.
   bool isExhausted(const Row &Of, Time Now) const;
   QuotaDecision refuse(Row &Of, Time Now);
+  // Returns the organisations with waiting requests, in order.
+  std::vector<OrganisationHash> waitingOrganisations() const;
 
   QuotaLimits m_Limits;
   Random m_Random;
--- a/lib/Quota.cpp
+++ b/lib/Quota.cpp
@@ -38,6 +38,32 @@
   return Names;
 }
 
+// Whether this VM has always heard at least half of the VMs of its region that
+// were left. A cut makes many silent together; those that end later are not
+// taken for the cause, nor does a long silence turn a minority into all.
+bool hasHeardHalf(const std::vector<QuotaVm> &Vms,
+                  const QuotaHolderRules &Rules) {
+  std::size_t Heard = 0;
+  std::vector<Duration> Silent;
+  for (const QuotaVm &Vm : Vms)
+    if (Vm.m_Age && Vm.m_SilentFor < Rules.m_IsolationTimeout)
+      ++Heard;
+    else
+      Silent.push_back(Vm.m_SilentFor);
+  std::sort(Silent.begin(), Silent.end());
+  for (std::size_t First = 0; First < Silent.size();) {
+    std::size_t End = First + 1;
+    while (End < Silent.size() &&
+           Silent[End] - Silent[End - 1] < Rules.m_IsolationTimeout)
+      ++End;
+    // Those that fell silent later were still heard then.
+    if (End - First > Heard + First)
+      return false;
+    First = End;
+  }
+  return true;
+}
+
 } // namespace
 
 std::vector<std::string> quotaCandidates(const std::vector<QuotaVm> &Vms,
@@ -60,23 +86,27 @@
 }
 
 QuotaActing quotaActing(const std::vector<QuotaVm> &Vms, Duration OwnAge,
-                        const QuotaHolderRules &Rules) {
+                        Duration SinceIsolated, const QuotaHolderRules &Rules) {
   QuotaActing Acting;
   Acting.m_Rivals =
       eligibleVms(Vms, Rules.m_SilentTimeout + Rules.m_SuccessionDelay, Rules);
-  std::size_t Counted = 0;
-  std::size_t Heard = 0;
   bool AnyOld = false;
   for (const QuotaVm &Vm : Vms) {
     if (Vm.m_SilentFor >= Rules.m_SilentTimeout + Rules.m_SuccessionDelay)
       continue; // It is gone, and replaced.
-    ++Counted;
-    Heard += Vm.m_Age && Vm.m_SilentFor < Rules.m_IsolationTimeout ? 1 : 0;
     AnyOld = AnyOld || isOld(Vm, Rules);
   }
-  bool HearsHalf = Heard * 2 >= Counted;
+  // Without an old VM all count already.
+  for (const QuotaVm &Vm : Vms)
+    if (AnyOld && !Vm.m_Age &&
+        Vm.m_SilentFor < Rules.m_SilentTimeout + Rules.m_SuccessionDelay)
+      Acting.m_Rivals.push_back(Vm.m_Vm);
   Duration MinAge = AnyOld ? Rules.m_MinActingAge : Rules.m_MinFreshAge;
-  Acting.m_MayAct = HearsHalf && OwnAge >= MinAge;
+  bool HeardHalf = hasHeardHalf(Vms, Rules);
+  // A younger process has not acted, and others have not been heard yet.
+  Acting.m_IsIsolated = !HeardHalf && OwnAge >= Rules.m_MinActingAge;
+  Acting.m_MayAct =
+      HeardHalf && OwnAge >= MinAge && SinceIsolated >= Rules.m_RejoinDelay;
   return Acting;
 }
 
@@ -109,7 +139,7 @@
   if (!Acting || !m_Shares.contains(Organisation))
     m_Buckets.erase(Organisation);
   else
-    m_Buckets.try_emplace(Organisation, Bucket{0, Now, Now});
+    m_Buckets.try_emplace(Organisation, Bucket{0, Now, Now, {}, Now});
 }
 
 void QuotaHolder::refill(Bucket &Row, const Share &Of, Time Now) const {
@@ -121,16 +151,32 @@
   Row.m_RefilledAt = Now;
 }
 
-QuotaGrantRow QuotaHolder::answer(const QuotaAskRow &Ask, Time Now) {
-  QuotaGrantRow Grant;
-  Grant.m_Organisation = Ask.m_Organisation;
+QuotaGrantRow QuotaHolder::answer(const QuotaAskRow &Ask, Time Now,
+                                  std::uint64_t Asker, std::uint64_t Sequence) {
   auto Found = m_Buckets.find(Ask.m_Organisation);
-  if (Found == m_Buckets.end()) {
-    Grant.m_IsHolder = false;
-    return Grant;
-  }
+  if (Found == m_Buckets.end())
+    return {Ask.m_Organisation, 0, false};
   Bucket &Row = Found->second;
   const Share &Of = m_Shares.at(Ask.m_Organisation);
+  if (Sequence == 0)
+    return take(Row, Of, Ask, Now);
+  if (Now - Row.m_AnswersEvictedAt >= m_Limits.m_TokenLifetime) {
+    std::erase_if(Row.m_Answers, [&](const auto &Entry) {
+      return Now - Entry.second.m_At >= m_Limits.m_TokenLifetime;
+    });
+    Row.m_AnswersEvictedAt = Now;
+  }
+  Answered &Last = Row.m_Answers[Asker];
+  if (Last.m_Sequence == Sequence && Now - Last.m_At < m_Limits.m_TokenLifetime)
+    return Last.m_Grant;
+  Last = {Sequence, Now, take(Row, Of, Ask, Now)};
+  return Last.m_Grant;
+}
+
+QuotaGrantRow QuotaHolder::take(Bucket &Row, const Share &Of,
+                                const QuotaAskRow &Ask, Time Now) const {
+  QuotaGrantRow Grant;
+  Grant.m_Organisation = Ask.m_Organisation;
   refill(Row, Of, Now);
   int Wanted = std::clamp(Ask.m_Tokens, 0, MaxTokensPerAsk);
   Grant.m_Tokens = std::min(Wanted, static_cast<int>(Row.m_Tokens));
@@ -209,6 +255,11 @@
 // requests expected soon.
 int QuotaClient::missingTokens(Row &Of, Time Now) const {
   double Ahead = demandPerSecond(Of, Now) * seconds(m_Limits.m_AskAhead);
+  // While tokens are short, those asked for ahead would often expire here as
+  // others wait for them.
+  for (const HolderState &Holder : Of.m_Holders)
+    if (Now < Holder.m_EmptyUntil)
+      Ahead = 0;
   int Wanted = static_cast<int>(Of.m_Waiting.size()) +
                static_cast<int>(std::floor(Ahead));
   int Coming = 0;
@@ -229,6 +280,7 @@
         Now - Holder.m_Asked.m_At < answerTimeout(Region))
       continue;
     Holder.m_Late = std::exchange(Holder.m_Asked, {});
+    Holder.m_Late.m_RepeatDue = true;
     Holder.m_SilentUntil = Now + m_Limits.m_SilentFor;
   }
 }
@@ -237,19 +289,27 @@
                                                    Time Now) const {
   for (std::size_t Region = 0; Region < Of.m_Holders.size(); ++Region) {
     const HolderState &Holder = Of.m_Holders[Region];
-    if (Holder.m_Asked.m_Sequence == 0 && Now >= Holder.m_EmptyUntil &&
-        Now >= Holder.m_SilentUntil)
-      return Region;
+    if (Now < Holder.m_EmptyUntil || Now < Holder.m_SilentUntil)
+      continue;
+    // A nearer holder that may yet answer comes before those behind it.
+    if (Holder.m_Asked.m_Sequence != 0)
+      return std::nullopt;
+    return Region;
   }
   return std::nullopt;
 }
 
 bool QuotaClient::isExhausted(const Row &Of, Time Now) const {
-  return std::all_of(
-      Of.m_Holders.begin(), Of.m_Holders.end(), [&](const HolderState &Holder) {
-        return Holder.m_Asked.m_Sequence == 0 &&
-               (Now < Holder.m_EmptyUntil || Now < Holder.m_SilentUntil);
-      });
+  for (std::size_t Region = 0; Region < Of.m_Holders.size(); ++Region) {
+    const HolderState &Holder = Of.m_Holders[Region];
+    // A repeated ask takes as long again to be answered.
+    bool IsRepeated = Holder.m_Late.m_Sequence != 0 &&
+                      Now - Holder.m_Late.m_At < 2 * answerTimeout(Region);
+    if (IsRepeated || Holder.m_Asked.m_Sequence != 0 ||
+        (Now >= Holder.m_EmptyUntil && Now >= Holder.m_SilentUntil))
+      return false;
+  }
+  return true;
 }
 
 // If any holder was without tokens of late the quota is used up. Otherwise no
@@ -302,15 +362,20 @@
   return Decision;
 }
 
-std::vector<QuotaWaitEnd> QuotaClient::process(Time Now) {
-  std::vector<QuotaWaitEnd> Ends;
+std::vector<OrganisationHash> QuotaClient::waitingOrganisations() const {
   std::vector<OrganisationHash> Organisations;
+  Organisations.reserve(m_WaitingIds.size());
   for (const auto &[Id, Organisation] : m_WaitingIds)
     Organisations.push_back(Organisation);
   std::sort(Organisations.begin(), Organisations.end());
   Organisations.erase(std::unique(Organisations.begin(), Organisations.end()),
                       Organisations.end());
-  for (OrganisationHash Organisation : Organisations) {
+  return Organisations;
+}
+
+std::vector<QuotaWaitEnd> QuotaClient::process(Time Now) {
+  std::vector<QuotaWaitEnd> Ends;
+  for (OrganisationHash Organisation : waitingOrganisations()) {
     Row &Of = m_Rows[Organisation];
     bool Limited = !Of.m_Holders.empty();
     expireAsks(Of, Now);
@@ -330,6 +395,14 @@
       Of.m_Waiting.pop_front();
       Ends.push_back({First.m_Id, Decision});
     }
+    // Those behind the first may have shorter limits.
+    std::erase_if(Of.m_Waiting, [&](const Waiter &Each) {
+      if (Now < Each.m_Until)
+        return false;
+      m_WaitingIds.erase(Each.m_Id);
+      Ends.push_back({Each.m_Id, refuse(Of, Now)});
+      return true;
+    });
     if (!Limited)
       m_Rows.erase(Organisation);
   }
@@ -364,23 +437,50 @@
 std::vector<QuotaAsk> QuotaClient::takeAsks(Time Now) {
   bool MayAskAhead = Now - m_AskedAt >= m_Limits.m_MinAskInterval;
   std::map<std::size_t, QuotaAsk> ByRegion;
-  for (auto &[Organisation, Of] : m_Rows) {
-    if (Of.m_Waiting.empty() && !MayAskAhead)
-      continue;
+  std::map<std::pair<std::uint64_t, std::size_t>, QuotaAsk> Repeated;
+  auto AskFor = [&](OrganisationHash Organisation, Row &Of) {
     expireAsks(Of, Now);
+    for (std::size_t I = 0; I < Of.m_Holders.size(); ++I)
+      for (HolderState::Asked *Last :
+           {&Of.m_Holders[I].m_Late, &Of.m_Holders[I].m_Asked}) {
+        // In the own region a repeated ask is answered within the timeout.
+        bool Due = Last->m_RepeatDue &&
+                   (I > 0 || Now - Last->m_At >= answerTimeout(I) / 2);
+        if (!Due || Last->m_Sequence == 0)
+          continue;
+        Last->m_RepeatDue = false;
+        QuotaAsk &Ask = Repeated[{Last->m_Sequence, I}];
+        Ask.m_Region = I;
+        Ask.m_Sequence = Last->m_Sequence;
+        Ask.m_Rows.push_back({Organisation, Last->m_Tokens});
+      }
     int Missing = missingTokens(Of, Now);
     std::optional<std::size_t> Region = nextRegion(Of, Now);
     if (Missing <= 0 || !Region)
-      continue;
+      return;
     QuotaAsk &Ask = ByRegion[*Region];
     Ask.m_Region = *Region;
     Ask.m_Rows.push_back({Organisation, Missing});
-    Of.m_Holders[*Region].m_Asked = {0, Now, Missing};
+    Of.m_Holders[*Region].m_Asked = {0, Now, Missing, *Region == 0};
     Of.m_Counts.m_Asked += static_cast<std::uint64_t>(Missing);
-  }
-  if (MayAskAhead)
+  };
+  if (MayAskAhead) {
     m_AskedAt = Now;
+    for (auto &[Organisation, Of] : m_Rows)
+      AskFor(Organisation, Of);
+  } else {
+    // Called for each request, so only the rows that wait are visited.
+    for (OrganisationHash Organisation : waitingOrganisations())
+      AskFor(Organisation, m_Rows[Organisation]);
+  }
+  // A holder may still remember answers to the process before this one, so that
+  // processes begin with different numbers.
+  if (m_Sequence == 0)
+    m_Sequence =
+        static_cast<std::uint64_t>(std::max<Time>(Now, Time{0}).count());
   std::vector<QuotaAsk> Asks;
+  for (auto &[Key, Ask] : Repeated)
+    Asks.push_back(std::move(Ask));
   for (auto &[Region, Ask] : ByRegion) {
     Ask.m_Sequence = ++m_Sequence;
     for (const QuotaAskRow &Each : Ask.m_Rows)
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -185,11 +185,11 @@
         handleQuotaAsk(Params, Ip);
         return Json::Value();
       });
-  m_Rpc.addNotification(QuotaGrantMethod,
-                        [this](const Json::Value &Params, const std::string &) {
-                          handleQuotaGrant(Params);
-                          return Json::Value();
-                        });
+  m_Rpc.addNotification(QuotaGrantMethod, [this](const Json::Value &Params,
+                                                 const std::string &Ip) {
+    handleQuotaGrant(Params, Ip);
+    return Json::Value();
+  });
   m_Rpc.addNotification("loads",
                         [this](const Json::Value &Params, const std::string &) {
                           handleLoadUpdates(Params);
@@ -289,6 +289,8 @@
   m_OperatorReadPolicy.setPropagationBound(Next.m_ConfigPropagationBound);
   m_Settings.m_RetryRatio = Next.m_RetryRatio;
   m_Settings.m_RetrySlack = Next.m_RetrySlack;
+  m_Settings.m_QuotaSlack = Next.m_QuotaSlack;
+  configureQuotas(); // The regions may have changed as well.
   for (const std::string &Seed : Next.m_Seeds)
     addKnownVm(Seed, "");
   return NeedRestart;
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -330,7 +330,7 @@
   // Wakes requests whose wait for a token has ended.
   void processQuotaWaits();
   void handleQuotaAsk(const Json::Value &Params, const std::string &PeerIp);
-  void handleQuotaGrant(const Json::Value &Params);
+  void handleQuotaGrant(const Json::Value &Params, const std::string &PeerIp);
   void countQuotas();
 
   // --- Requests through other VMs (NodeDetours.cpp)
@@ -460,6 +460,8 @@
   std::vector<std::vector<std::string>> m_QuotaCandidates;
   std::map<OrganisationHash, std::vector<std::string>> m_QuotaHolders;
   QuotaActing m_QuotaActing;
+  // When this VM last heard less than half of its region.
+  Time m_QuotaIsolatedAt{-24h};
   std::unordered_map<RequestId, ExchangePtr> m_QuotaWaiting;
   WeightedSplitter m_Splitter;
   ConfigDocument m_ConfigDocument;
--- a/tools/rhubarb-node/NodeQuota.cpp
+++ b/tools/rhubarb-node/NodeQuota.cpp
@@ -41,7 +41,8 @@
         I < MaxQuotaLabels ? Limited[I]->m_Name : OtherLabel;
   std::set<std::string> Regions;
   for (const auto &[Domain, Region] : m_Settings.m_RegionOf)
-    Regions.insert(Region);
+    if (!Region.empty()) // A listed server's domain may be unknown here.
+      Regions.insert(Region);
   Regions.erase(m_Settings.m_Region);
   m_QuotaRegions = {m_Settings.m_Region};
   m_QuotaRegions.insert(m_QuotaRegions.end(), Regions.begin(), Regions.end());
@@ -92,11 +93,13 @@
   }
   Duration OwnAge = now() - m_StartedAt;
   std::vector<QuotaVm> Near = quotaVms(m_Settings.m_Region);
-  QuotaActing Acting = quotaActing(Near, OwnAge);
+  QuotaActing Acting = quotaActing(Near, OwnAge, now() - m_QuotaIsolatedAt);
+  if (Acting.m_IsIsolated)
+    m_QuotaIsolatedAt = now();
   std::vector<std::vector<std::string>> Candidates;
   for (const std::string &Region : m_QuotaRegions) {
     std::vector<QuotaVm> Vms = quotaVms(Region);
-    if (Region == m_Settings.m_Region)
+    if (Region == m_Settings.m_Region && !m_Leaving)
       Vms.push_back({m_Settings.m_Ip, OwnAge, Duration{0}});
     Candidates.push_back(quotaCandidates(Vms));
   }
@@ -219,12 +222,16 @@
   Grant.m_Region = Ask.m_Region;
   Grant.m_Sequence = Ask.m_Sequence;
   for (const QuotaAskRow &Row : Ask.m_Rows)
-    Grant.m_Rows.push_back(m_QuotaHolder.answer(Row, now()));
+    Grant.m_Rows.push_back(
+        m_QuotaHolder.answer(Row, now(), stableHash(PeerIp), Ask.m_Sequence));
   for (const std::string &Text : encodeQuotaGrant(Grant))
     m_Datagrams.send(PeerIp, m_Settings.m_PeerPort, Text);
 }
 
-void Node::handleQuotaGrant(const Json::Value &Params) {
+void Node::handleQuotaGrant(const Json::Value &Params,
+                            const std::string &PeerIp) {
+  if (!m_KnownVms.contains(PeerIp))
+    return;
   QuotaGrantMessage Grant = readQuotaGrant(Params);
   m_QuotaClient.applyGrant(Grant.m_Region, Grant.m_Sequence, Grant.m_Rows,
                            now());
