Quotas: count the token of a detoured request as used

A request that was forwarded through another VM has no attempts here, so its token went back to the stock although the request may have run. Each such request allowed a further one. The token is now spent when the request is forwarded. Suites detours and organisations pass; no test covers the node's path.

--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -170,6 +170,8 @@
     if (Vm.empty())
       break;
     Time SentAt = now();
+    // The other VM may run the request, so its token counts as used.
+    Work->m_QuotaTokenExpiresAt = Time{0};
     HttpResult Got = co_await sendDetour(Work, Vm);
     std::optional<HttpResponse> Response;
     int Status = Got.m_Response.m_Status;
