--- a/include/rhubarb/Quota.h
+++ b/include/rhubarb/Quota.h
@@ -71,7 +71,8 @@
 // A VM of a region, as far as it may act as holder.
 struct QuotaVm {
   std::string m_Vm;
-  Duration m_SilentFor{0}; // Time since it was last heard.
+  bool m_IsHeard = false;  // By this process; otherwise the list names it.
+  Duration m_SilentFor{0}; // Time since it was last heard, or named first.
 };
 
 // Why a process starts, which decides when it may act as holder.
@@ -93,8 +94,12 @@
   Duration m_SilentTimeout = 30s;
   Duration m_SuccessionDelay = 10s;
   // A VM that hears less than half of its region for this long stops acting, as
-  // the others may have replaced it.
+  // the others may have replaced it. VMs that fell silent one after the other,
+  // this far apart, have ended; those that did so together may be cut off.
   Duration m_IsolationTimeout = 20s;
+  // A VM that was cut off acts again this long after it hears the others: those
+  // that act in its place have heard it by then.
+  Duration m_RejoinDelay = 5s;
 };
 
 // Returns the VMs of a region that may be asked for tokens.
@@ -110,10 +115,13 @@
   // VMs that this VM must outrank: candidates, and those replaced just now.
   std::vector<std::string> m_Rivals;
   bool m_MayAct = false;
+  bool m_IsIsolated = false; // It may have been replaced unknown to it.
 };
-// Vms lists the other VMs of the region.
+// Vms lists the other VMs of the region; SinceIsolated is the time since the
+// result was last isolated.
 QuotaActing quotaActing(const std::vector<QuotaVm> &Vms, Duration OwnAge,
-                        QuotaStart Start, const QuotaHolderRules &Rules = {});
+                        QuotaStart Start, Duration SinceIsolated,
+                        const QuotaHolderRules &Rules = {});
 
 // --- Messages
 
@@ -145,7 +153,11 @@
   // Sets whether this VM acts for an organisation. A bucket starts empty and is
   // dropped when another VM takes over.
   void setActing(OrganisationHash Organisation, bool Acting, Time Now);
-  QuotaGrantRow answer(const QuotaAskRow &Ask, Time Now);
+  // Answers a row of an ask. An ask that is repeated within the lifetime of its
+  // tokens gets the same answer again, so that a lost answer loses no tokens.
+  // Sequence 0: it is never repeated.
+  QuotaGrantRow answer(const QuotaAskRow &Ask, Time Now,
+                       std::uint64_t Asker = 0, std::uint64_t Sequence = 0);
   // Returns what to ask of the holders of each other region, so that tokens are
   // where the demand is. Call it at an interval; the sequence number goes with
   // the ask and comes back with the answer.
@@ -162,6 +174,11 @@
   }
 
 private:
+  struct Answered {
+    std::uint64_t m_Sequence = 0;
+    Time m_At{0};
+    QuotaGrantRow m_Grant;
+  };
   struct Bucket {
     double m_Tokens = 0; // As of m_RefilledAt.
     Time m_RefilledAt{0};
@@ -171,6 +188,9 @@
     Time m_DemandAt{0};
     std::uint64_t m_TransferSequence = 0; // Of the last ask; 0: none.
     std::set<std::size_t> m_Answered;     // Regions that have answered it.
+    // The last answer to each asker.
+    std::unordered_map<std::uint64_t, Answered> m_Answers;
+    Time m_AnswersEvictedAt{0};
   };
   struct Share {
     double m_PerSecond = 0;
@@ -180,6 +200,8 @@
   double decayed(double Demand, Duration Age) const;
   // Returns the tokens that a bucket should hold for its own region.
   double wantedStock(const Bucket &Row, const Share &Of, Time Now) const;
+  QuotaGrantRow take(Bucket &Row, const Share &Of, const QuotaAskRow &Ask,
+                     Time Now) const;
 
   QuotaLimits m_Limits;
   std::unordered_map<OrganisationHash, Share> m_Shares;
@@ -259,9 +281,11 @@
       std::uint64_t m_Sequence = 0;
       Time m_At{0};
       int m_Tokens = 0;
+      bool m_RepeatDue = false;
     };
     Asked m_Asked;
-    // The last ask that was not answered in time. Its tokens can still be used.
+    // The last ask that was not answered in time. It is repeated, and its
+    // tokens can still be used.
     Asked m_Late;
     Time m_EmptyUntil{0};
     Time m_SaidEmptyAt{0}; // 0: it has never been without tokens.
@@ -297,6 +321,8 @@
   // Whether no holder can give a token now, and none is being asked.
   bool isExhausted(const Row &Of, Time Now) const;
   QuotaDecision refuse(Row &Of, Time Now);
+  // Returns the organisations with waiting requests, in order.
+  std::vector<OrganisationHash> waitingOrganisations() const;
 
   QuotaLimits m_Limits;
   Random m_Random;
--- a/tools/rhubarb-node/NodeQuota.cpp
+++ b/tools/rhubarb-node/NodeQuota.cpp
@@ -41,7 +41,8 @@
         I < MaxQuotaLabels ? Limited[I]->m_Name : OtherLabel;
   std::set<std::string> Regions;
   for (const auto &[Domain, Region] : m_Settings.m_RegionOf)
-    Regions.insert(Region);
+    if (!Region.empty()) // A listed server's domain may be unknown here.
+      Regions.insert(Region);
   Regions.erase(m_Settings.m_Region);
   m_QuotaRegions = {m_Settings.m_Region};
   m_QuotaRegions.insert(m_QuotaRegions.end(), Regions.begin(), Regions.end());
@@ -73,6 +74,7 @@
     Vm.m_Vm = Row.m_Report.m_Vm;
     // Before the first heartbeat the time counts from the start of this
     // process.
+    Vm.m_IsHeard = Row.m_LastHeard.count() > 0;
     Vm.m_SilentFor = now() - std::max(Row.m_LastHeard, m_StartedAt);
     Vms.push_back(std::move(Vm));
   }
@@ -86,14 +88,17 @@
   }
   Duration OwnAge = now() - m_StartedAt;
   std::vector<QuotaVm> Near = quotaVms(m_Settings.m_Region);
-  QuotaActing Acting = quotaActing(Near, OwnAge, m_QuotaStart);
+  QuotaActing Acting =
+      quotaActing(Near, OwnAge, m_QuotaStart, now() - m_QuotaIsolatedAt);
+  if (Acting.m_IsIsolated)
+    m_QuotaIsolatedAt = now();
   // Without the list of VMs this one may take itself for the only one.
   Acting.m_MayAct = Acting.m_MayAct && m_VmsListed;
   std::vector<std::vector<std::string>> Candidates;
   for (const std::string &Region : m_QuotaRegions) {
     std::vector<QuotaVm> Vms = quotaVms(Region);
     if (Region == m_Settings.m_Region)
-      Vms.push_back({m_Settings.m_Ip, Duration{0}});
+      Vms.push_back({m_Settings.m_Ip, true, Duration{0}});
     Candidates.push_back(quotaCandidates(Vms));
   }
   if (Candidates == m_QuotaCandidates &&
@@ -251,12 +256,17 @@
   for (const QuotaAskRow &Row : Ask.m_Rows)
     Grant.m_Rows.push_back(Ask.m_Kind == QuotaAskKind::Stock
                                ? m_QuotaHolder.transfer(Row, now())
-                               : m_QuotaHolder.answer(Row, now()));
+                               : m_QuotaHolder.answer(Row, now(),
+                                                      stableHash(PeerIp),
+                                                      Ask.m_Sequence));
   for (const std::string &Text : encodeQuotaGrant(Grant))
     m_Datagrams.send(PeerIp, m_Settings.m_PeerPort, Text);
 }
 
-void Node::handleQuotaGrant(const Json::Value &Params) {
+void Node::handleQuotaGrant(const Json::Value &Params,
+                            const std::string &PeerIp) {
+  if (!m_KnownVms.contains(PeerIp))
+    return;
   QuotaGrantMessage Grant = readQuotaGrant(Params);
   if (Grant.m_Kind == QuotaAskKind::Stock) {
     for (const QuotaGrantRow &Row : Grant.m_Rows)
