Bound the wait inside a server by the deadline too

Cause: the depth followed the objective only, so a request whose deadline is earlier could be sent to a queue in which it times out: 81 places instead of 19 for a deadline of 1 s, an objective of 4 s and runs of 100 ms.

Change: the earlier of both counts.

--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -398,7 +398,8 @@
   double RoundTrip = toMicros(m_Fleet.roundTrip(Row));
   double CanWait =
       m_Limits.m_QueueTimeShare *
-      (toMicros(Request.m_ObjectiveAt - Now) - RoundTrip - RunTime);
+      (toMicros(std::min(Request.m_ObjectiveAt, Request.m_Deadline) - Now) -
+       RoundTrip - RunTime);
   auto Spare = m_SpareTimes.find(Request.m_Pool);
   if (Spare != m_SpareTimes.end())
     for (std::size_t Class = 0; Class < priorityClass(Request.m_Priority);
