Pipelined requests: see closes and time-outs; count what connections hold

Cause: a pipelining connection that was not read (eight requests in progress, a body that waits) did not see its client's close. It never ended when idle after a request, as the read had been started without a time-out. A slow head ended the requests before it, as the time-out closed the socket. Requests behind one with Connection: close were run, requests of clients that had left before they were read were run, and a slow reader's connection read on. And what connections hold beside bodies counted against nothing.

Change: HttpServer::Pipeline looks for the close every 200 ms while it does not read, has a time-out of its own for heads and idle connections, ends reading behind the last request, and does not start requests while a write is blocked. Where contracts name pressure, connections, unparsed bytes, heads, fragments and unwritten responses count against the BufferBudget; beyond its parts connections and requests are refused with buffers_full. The aggregate in StoreTest.cpp names the new member of BodyFragment.

Result: http_pipeline, memory_budget, http, http_status, store, platform and settings pass. With the code of before, four of the new http_pipeline cases and the new row of "a handler detects a disconnect that preceded reading" fail.

--- a/net/Http.h
+++ b/net/Http.h
@@ -30,11 +30,15 @@
   std::function<void()> m_OnClose; // Called once, when the client disconnects.
 };
 
+class BufferedBytes;
+
 // Part of a message body that is streamed as it arrives.
 struct BodyFragment {
   std::string m_Bytes;
   bool m_Last = false;    // This fragment completes the body.
   bool m_Aborted = false; // The sender failed; no fragment follows.
+  // Counts m_Bytes against the budget of their reader. May be null.
+  std::shared_ptr<BufferedBytes> m_Buffered;
 };
 
 // The part of a body that has not been received yet. It has one reader at a
@@ -82,9 +86,9 @@
   std::function<void()> m_Hook;
 };
 
-// Limits the bytes of bodies that the connections of a process hold together. A
-// limit for each connection alone would not keep the process within the memory
-// of its VM.
+// Limits the bytes that the connections of a process hold together: bodies and,
+// where connections are counted, all else that they hold. A limit for each
+// connection alone would not keep the process within the memory of its VM.
 class BufferBudget {
 public:
   explicit BufferBudget(std::size_t LimitBytes) : m_LimitBytes(LimitBytes) {}
@@ -92,9 +96,13 @@
   std::size_t leftBytes() const {
     return m_LimitBytes - std::min(m_LimitBytes, m_UsedBytes);
   }
+  std::size_t limitBytes() const { return m_LimitBytes; }
+  // Counts bytes, unless less than KeepFree bytes would be left.
+  bool tryAdd(std::size_t Bytes, std::size_t KeepFree);
+  void add(std::size_t Bytes) { m_UsedBytes += Bytes; }
+  void remove(std::size_t Bytes) { m_UsedBytes -= Bytes; }
 
 private:
-  friend class BufferedBytes;
   std::size_t m_LimitBytes;
   std::size_t m_UsedBytes = 0;
 };
@@ -104,8 +112,9 @@
 // counted.
 class BufferedBytes {
 public:
-  explicit BufferedBytes(BufferBudgetPtr Budget)
-      : m_Budget(std::move(Budget)) {}
+  // KeepFree is what reserve() leaves of the budget for other uses, in bytes.
+  explicit BufferedBytes(BufferBudgetPtr Budget, std::size_t KeepFree = 0)
+      : m_Budget(std::move(Budget)), m_KeepFree(KeepFree) {}
   ~BufferedBytes() { set(0); }
   BufferedBytes(const BufferedBytes &) = delete;
   BufferedBytes &operator=(const BufferedBytes &) = delete;
@@ -116,6 +125,7 @@
 
 private:
   BufferBudgetPtr m_Budget; // May be null.
+  std::size_t m_KeepFree;
   std::size_t m_Bytes = 0;
 };
 
@@ -188,6 +198,11 @@
   // before they reach m_MaxBufferedBodyBytes; where that has no limit, requests
   // with a body are refused. Null: no budget.
   BufferBudgetPtr m_Budget = nullptr;
+  // Counts against the budget what connections hold beside bodies: a fixed cost
+  // each, unparsed bytes, heads, fragments of streamed bodies and responses
+  // that wait to be written. Connections and requests that do not fit into the
+  // callers' part of the budget are refused with BuffersFull.
+  bool m_CountsConnections = false;
 };
 
 // Returns the limits for ports that serve control-plane messages.
@@ -245,6 +260,13 @@
   asio::awaitable<void> waitForBodyReader(ConnectionPtr Client,
                                           BodyStreamPtr Body);
   asio::awaitable<void> lingeringClose(ConnectionPtr Client);
+  // Returns the budget if connections are counted, otherwise null.
+  BufferBudgetPtr connectionBudget() const;
+  // Returns the bytes of the budget that callers leave to other uses: a part of
+  // the limit, or 0 if connections are not counted.
+  std::size_t bytesKeptFree(std::size_t Divisor) const;
+  // Answers a connection that does not fit into the budget with BuffersFull.
+  asio::awaitable<void> refuseConnection(asio::ip::tcp::socket Socket);
   void reportRefusal(ErrorKind Kind) const;
 
   asio::io_context &m_Io;
@@ -256,6 +278,7 @@
   std::set<std::shared_ptr<Connection>> m_Connections;
   std::map<std::string, int> m_ConnectionsPerIp;
   int m_ActiveRequests = 0;
+  int m_ClosingRefused = 0; // Refused connections that are not closed yet.
   bool m_KeepAliveDisabled = false;
   bool m_Stopping = false;
 };
@@ -302,6 +325,8 @@
   std::size_t m_MaxBufferedBodyBytes = std::numeric_limits<std::size_t>::max();
   // Bodies that do not fit are streamed earlier. Null: no budget.
   BufferBudgetPtr m_Budget = nullptr;
+  // Counts unparsed bytes and fragments of streamed bodies as well.
+  bool m_CountsConnections = false;
   std::size_t m_MaxIdleConnectionsPerAddress = 32;
   Duration m_MaxIdleTime = 2s;
   Duration m_ConnectTimeout = 1s;
@@ -348,6 +373,8 @@
   asio::awaitable<void> writeRestOfRequest(std::shared_ptr<Exchange> State,
                                            std::optional<BodyReader> Reader);
   asio::awaitable<bool> readResponseHead(std::shared_ptr<Exchange> State);
+  // Returns the bytes of the budget that buffered bodies leave to other uses.
+  std::size_t bytesKeptFree() const;
   void returnToPool(Exchange &State);
   BodyStreamPtr streamBody(const std::shared_ptr<Exchange> &State);
 
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -106,9 +106,13 @@
 }
 
 struct HttpClient::Connection {
-  explicit Connection(asio::io_context &Io) : m_Stream(Io) {}
+  // Counts unparsed bytes against Budget, if it is not null.
+  Connection(asio::io_context &Io, BufferBudgetPtr Budget)
+      : m_Stream(Io),
+        m_Buffer(MaxUnparsedBytes,
+                 CountingAllocator<char>(std::move(Budget), std::nullopt)) {}
   beast::tcp_stream m_Stream;
-  beast::flat_buffer m_Buffer{MaxUnparsedBytes};
+  ReadBuffer m_Buffer;
   Time m_IdleSince{0};
   Duration m_IdleTimeout{0};
 };
@@ -134,6 +138,12 @@
 
 HttpClient::~HttpClient() = default;
 
+std::size_t HttpClient::bytesKeptFree() const {
+  return m_Limits.m_Budget && m_Limits.m_CountsConnections
+             ? m_Limits.m_Budget->limitBytes() / BudgetKeepDivisor
+             : 0;
+}
+
 HttpClient::ConnectionPtr
 HttpClient::takeIdleConnection(const std::string &Address, Duration MaxIdle) {
   auto Found = m_IdleConnections.find(Address);
@@ -186,7 +196,8 @@
     co_await Timer.async_wait(Await);
     co_return nullptr;
   }
-  auto Created = std::make_shared<Connection>(m_Io);
+  auto Created = std::make_shared<Connection>(
+      m_Io, m_Limits.m_CountsConnections ? m_Limits.m_Budget : nullptr);
   boost::system::error_code Error;
   tcp::socket &Socket = Created->m_Stream.socket();
   Socket.open(tcp::v4(), Error);
@@ -320,7 +331,8 @@
     co_return;
   ResponseParser &Parser = *State->m_Parser;
   std::string &Body = Result.m_Response.m_Body;
-  auto Buffered = std::make_shared<BufferedBytes>(m_Limits.m_Budget);
+  auto Buffered =
+      std::make_shared<BufferedBytes>(m_Limits.m_Budget, bytesKeptFree());
   Result.m_Response.m_Buffered = Buffered;
   while (!Parser.is_done() && Body.size() < m_Limits.m_MaxBufferedBodyBytes &&
          Buffered->reserve(capacityForRead(Body))) {
@@ -379,7 +391,7 @@
 HttpClient::readResponseHead(std::shared_ptr<Exchange> State) {
   HttpResult &Result = State->m_Result;
   beast::tcp_stream &Stream = State->m_Connection->m_Stream;
-  beast::flat_buffer &Buffer = State->m_Connection->m_Buffer;
+  ReadBuffer &Buffer = State->m_Connection->m_Buffer;
   int Interim = 0;
   for (;;) {
     ResponseParser &Parser = State->m_Parser.emplace();
@@ -444,8 +456,10 @@
       [this, State,
        Held = State->m_Connection]() -> asio::awaitable<BodyFragment> {
     BodyFragment Fragment;
-    auto Error = co_await readBodyFragment(Held->m_Stream, Held->m_Buffer,
-                                           *State->m_Parser, Fragment.m_Bytes);
+    auto Error = co_await readCountedFragment(
+        Held->m_Stream, Held->m_Buffer, *State->m_Parser, Fragment,
+        m_Limits.m_CountsConnections ? m_Limits.m_Budget : nullptr,
+        bytesKeptFree());
     Fragment.m_Aborted = bool(Error);
     Fragment.m_Last = !Error && State->m_Parser->is_done();
     if (Fragment.m_Last) {
--- a/net/HttpMessages.cpp
+++ b/net/HttpMessages.cpp
@@ -26,15 +26,26 @@
 
 } // namespace
 
+bool BufferBudget::tryAdd(std::size_t Bytes, std::size_t KeepFree) {
+  std::size_t Left = leftBytes();
+  if (Bytes > Left || Left - Bytes < KeepFree)
+    return false;
+  m_UsedBytes += Bytes;
+  return true;
+}
+
 void BufferedBytes::set(std::size_t Bytes) {
   if (m_Budget)
-    m_Budget->m_UsedBytes += Bytes - m_Bytes;
+    m_Budget->add(Bytes - m_Bytes);
   m_Bytes = Bytes;
 }
 
 bool BufferedBytes::reserve(std::size_t Bytes) {
-  if (m_Budget && Bytes > m_Bytes && Bytes - m_Bytes > m_Budget->leftBytes())
-    return false;
+  if (m_Budget && Bytes > m_Bytes) {
+    bool Fits = m_Budget->tryAdd(Bytes - m_Bytes, m_KeepFree);
+    m_Bytes = Fits ? Bytes : m_Bytes;
+    return Fits;
+  }
   set(Bytes);
   return true;
 }
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <array>
+#include <poll.h>
+
 namespace rhubarb::net {
 namespace {
 
@@ -16,13 +19,27 @@
 constexpr std::size_t MaxControlBodyBytes = 16U << 20U;
 // Delay before the next accept after an error such as EMFILE.
 constexpr Duration AcceptRetryDelay = 20ms;
-// Maximum size of the first read of a request.
-constexpr std::size_t ReadAheadBytes = 4096;
 // Limits of the lingering close, which reads the rest of a request that was
 // answered early. Otherwise closing could reset the connection before the
 // client has read the response.
 constexpr std::size_t MaxLingerBytes = 1U << 20U;
 constexpr Duration LingerTimeout = 1s;
+// While a connection is not read, an end of it is looked for this often.
+constexpr Duration CloseCheckInterval = 200ms;
+// Parts of the budget that callers leave free, as divisors of its limit, where
+// connections are counted. Bodies are streamed first, then connections are
+// refused, then requests; the rest is left to control ports.
+constexpr std::size_t BodyKeepDivisor = 2;
+constexpr std::size_t RequestKeepDivisor = 8;
+// Cost of an open connection beside its buffers: socket, timers, coroutine
+// frames, parser.
+constexpr std::size_t ConnectionBytes = 6U << 10U;
+// Cost of a request in progress beside its head and body.
+constexpr std::size_t RequestBytes = 4U << 10U;
+// Refused connections that are being closed at once. Further ones stay in the
+// listen queue until one of these has ended.
+constexpr int MaxClosingRefused = 64;
+constexpr Duration BuffersFullRetryAfter = 1s;
 
 HttpRequest toHttpRequest(RequestParser &Parser, const std::string &PeerIp) {
   const auto &Message = Parser.get();
@@ -57,6 +74,28 @@
   State.m_Closed = Error && Error != asio::error::would_block;
 }
 
+// Returns whether the client has closed the connection, also when bytes that
+// were sent before are still unread.
+bool hasPeerClosed(tcp::socket &Socket) {
+  pollfd Polled{Socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&Polled, 1, 0) > 0 &&
+         (Polled.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
+}
+
+// Returns a buffer for bytes that are discarded.
+asio::mutable_buffer discardBuffer() {
+  thread_local std::array<char, BodyReadBytes> Discarded;
+  return asio::buffer(Discarded);
+}
+
+// Returns the size of a request's start line and header fields.
+std::size_t headBytes(const RequestParser &Parser) {
+  std::size_t Sum = Parser.get().target().size();
+  for (const auto &Field : Parser.get())
+    Sum += Field.name_string().size() + Field.value().size();
+  return Sum;
+}
+
 // Watches for the close of a connection while its request is handled. A
 // pipelined request is left in the socket for the next read. Owner keeps the
 // socket alive until the watch has ended.
@@ -120,11 +159,41 @@
   return Limits;
 }
 
+namespace {
+
+// Returns whether a read failed because the budget refused a larger buffer.
+bool isBufferFull(const ReadBuffer &Buffer,
+                  const boost::system::error_code &Error) {
+  return Error == http::error::buffer_overflow &&
+         Buffer.capacity() < Buffer.max_size();
+}
+
+} // namespace
+
 struct HttpServer::Connection {
-  Connection(tcp::socket Socket, std::size_t MaxBuffered)
-      : m_Stream(std::move(Socket)), m_Buffer(MaxBuffered) {}
+  // Budget is null if connections are not counted.
+  Connection(tcp::socket Socket, std::size_t MaxBuffered,
+             const BufferBudgetPtr &Budget, std::size_t KeepFree)
+      : m_Stream(std::move(Socket)),
+        m_Buffer(MaxBuffered, CountingAllocator<char>(Budget, KeepFree)),
+        m_Fixed(Budget) {
+    m_Fixed.set(ConnectionBytes);
+  }
+  // Releases a read buffer that a long request has made large.
+  void shrinkBuffer() {
+    if (m_Buffer.size() == 0 && m_Buffer.capacity() > ReadAheadBytes)
+      m_Buffer.shrink_to_fit();
+  }
+  void setWriteBlocked(bool Blocked) {
+    m_WriteBlocked = Blocked;
+    if (!Blocked && m_OnWritable)
+      m_OnWritable();
+  }
   beast::tcp_stream m_Stream;
-  beast::flat_buffer m_Buffer;
+  ReadBuffer m_Buffer;
+  BufferedBytes m_Fixed;              // Counts the connection itself.
+  bool m_WriteBlocked = false;        // A write waits for the client to read.
+  std::function<void()> m_OnWritable; // Called when such a write has ended.
   std::string m_PeerIp;
   bool m_RequestInProgress = false;
   // The connection exceeds a connection limit; its first request is refused.
@@ -138,6 +207,7 @@
   bool m_BuffersFull = false;
   HttpRequest m_Request;
   std::optional<BufferedBytes> m_Buffered; // Counts the request's body.
+  std::optional<BufferedBytes> m_Head;     // Counts all else of the request.
 };
 
 // Serves one connection whose client sends further requests before the first
@@ -148,7 +218,8 @@
 public:
   Pipeline(HttpServer &Server, ConnectionPtr Client)
       : m_Server(Server), m_Client(std::move(Client)),
-        m_Changed(Server.m_Io, asio::steady_timer::time_point::max()) {}
+        m_Changed(Server.m_Io, asio::steady_timer::time_point::max()),
+        m_ReadTimer(Server.m_Io) {}
   // Returns when the connection is to be closed and no coroutine uses it.
   asio::awaitable<void> run();
 
@@ -168,9 +239,18 @@
   asio::awaitable<void> handleEntry(EntryPtr Item);
   asio::awaitable<bool> writeResponse(EntryPtr Item);
   asio::awaitable<void> waitForChange();
+  // Waits like waitForChange() while the connection is not read, and looks for
+  // its end meanwhile, which no read would see.
+  asio::awaitable<void> waitUnread();
   void notify() { m_Changed.cancel(); }
   bool mayReadNext() const;
   void stopReading();
+  // Limits how long the client may take for a request, from now on. The timer
+  // of the stream would close the socket under the responses of earlier
+  // requests.
+  void setReadTimeout(Duration Timeout);
+  void onReadTimeout();
+  void endClient();
   // Cancels all requests: their client has disconnected, or their responses
   // cannot be sent any more.
   void cancelRequests();
@@ -184,13 +264,58 @@
   bool m_ReadsRequest = false; // It has a part of a request.
   bool m_ClientGone = false;
   asio::steady_timer m_Changed; // Cancelled at each change of state.
+  asio::steady_timer m_ReadTimer;
+  std::uint64_t m_ReadTimeouts = 0; // Time-outs set so far.
 };
 
 asio::awaitable<void> HttpServer::Pipeline::waitForChange() {
   co_await m_Changed.async_wait(Await);
 }
 
+asio::awaitable<void> HttpServer::Pipeline::waitUnread() {
+  auto Timer =
+      std::make_shared<asio::steady_timer>(m_Server.m_Io, CloseCheckInterval);
+  Timer->async_wait([Self = shared_from_this(),
+                     Timer](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    if (hasPeerClosed(Self->m_Client->m_Stream.socket()))
+      Self->endClient();
+    Self->notify();
+  });
+  co_await waitForChange();
+  Timer->cancel();
+}
+
+void HttpServer::Pipeline::endClient() {
+  m_ClientGone = true;
+  cancelRequests();
+  stopReading();
+}
+
+void HttpServer::Pipeline::setReadTimeout(Duration Timeout) {
+  std::uint64_t Number = ++m_ReadTimeouts;
+  m_ReadTimer.expires_after(Timeout);
+  m_ReadTimer.async_wait([Weak = weak_from_this(),
+                          Number](const boost::system::error_code &Error) {
+    auto Self = Weak.lock();
+    if (!Error && Self && Number == Self->m_ReadTimeouts)
+      Self->onReadTimeout();
+  });
+}
+
+// Requests in progress are answered before the connection ends, so their
+// writes must not be cancelled together with the read.
+void HttpServer::Pipeline::onReadTimeout() {
+  m_StopReading = true;
+  notify();
+}
+
 asio::awaitable<void> HttpServer::Pipeline::run() {
+  m_Client->m_OnWritable = [Weak = weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->notify();
+  };
   asio::co_spawn(
       m_Server.m_Io,
       [](std::shared_ptr<Pipeline> Self) -> asio::awaitable<void> {
@@ -198,7 +323,8 @@
       }(shared_from_this()),
       asio::detached);
   for (;;) {
-    while (m_IsReading && (m_Entries.empty() || !m_Entries.front()->m_IsDone))
+    while (m_IsReading && !m_StopReading &&
+           (m_Entries.empty() || !m_Entries.front()->m_IsDone))
       co_await waitForChange();
     if (m_Entries.empty() || m_ClientGone)
       break;
@@ -212,10 +338,15 @@
     m_Client->m_RequestInProgress = !m_Entries.empty() || m_ReadsRequest;
     if (!Reusable)
       break;
+    if (m_Entries.empty() && !m_ReadsRequest)
+      setReadTimeout(m_Server.m_Limits.m_IdleTimeout);
     notify(); // There is room for another request.
   }
   cancelRequests();
   stopReading();
+  ++m_ReadTimeouts;
+  m_ReadTimer.cancel();
+  m_Client->m_OnWritable = nullptr;
   while (m_IsReading)
     co_await waitForChange();
 }
@@ -235,7 +366,7 @@
   while ((Stopping || Closes) && m_IsReading)
     co_await waitForChange();
   bool IsLast = m_Entries.size() == 1;
-  bool KeepAlive = !Closes && !(Stopping && IsLast);
+  bool KeepAlive = !Closes && !((Stopping || m_StopReading) && IsLast);
   // The client may still be sending the body, which requires a lingering close.
   if (!HasWholeBody)
     Item->m_Response.m_CloseConnection = true;
@@ -245,7 +376,8 @@
 }
 
 void HttpServer::Pipeline::stopReading() {
-  if (!std::exchange(m_StopReading, true) && m_ReadsSocket)
+  m_StopReading = true;
+  if (m_ReadsSocket)
     m_Client->m_Stream.cancel();
   notify();
 }
@@ -268,6 +400,7 @@
   auto Most =
       static_cast<std::size_t>(m_Server.m_Limits.m_MaxPipelinedRequests);
   return m_Entries.size() < Most && !m_Entries.back()->m_RequestBody &&
+         !m_Client->m_WriteBlocked &&
          (!Budget || Budget->leftBytes() > MaxUnparsedBytes);
 }
 
@@ -282,21 +415,19 @@
 // Returns whether to go on reading.
 asio::awaitable<bool> HttpServer::Pipeline::readOneRequest() {
   while (!m_StopReading && !mayReadNext())
-    co_await waitForChange();
+    co_await waitUnread();
   beast::tcp_stream &Stream = m_Client->m_Stream;
   if (!m_StopReading && m_Client->m_Buffer.size() == 0) {
+    m_Client->shrinkBuffer();
+    Stream.expires_never();
     if (m_Entries.empty())
-      Stream.expires_after(m_Server.m_Limits.m_IdleTimeout);
-    else
-      Stream.expires_never();
+      setReadTimeout(m_Server.m_Limits.m_IdleTimeout);
     m_ReadsSocket = true;
     auto [Error, Bytes] = co_await Stream.async_read_some(
         m_Client->m_Buffer.prepare(ReadAheadBytes), Await);
     m_ReadsSocket = false;
-    if (Error && !m_StopReading) {
-      m_ClientGone = true;
-      cancelRequests();
-    }
+    if (Error && !m_StopReading)
+      endClient();
     if (Error)
       co_return false;
     m_Client->m_Buffer.commit(Bytes);
@@ -306,21 +437,24 @@
   m_Client->m_RequestInProgress = true;
   m_ReadsRequest = true;
   auto Received = std::make_shared<ReceivedRequest>();
+  Stream.expires_never();
+  setReadTimeout(m_Server.m_Limits.m_HeaderTimeout);
   m_ReadsSocket = true;
   co_await m_Server.receiveHead(m_Client, Received);
   m_ReadsSocket = false;
+  ++m_ReadTimeouts; // The head is complete: its time-out has no effect.
+  m_ReadTimer.cancel();
   bool Disconnected = Received->m_Error && !m_StopReading &&
                       readErrorKind(Received->m_Error) == ErrorKind::None;
-  if (Disconnected) {
-    m_ClientGone = true;
-    cancelRequests();
-  }
+  if (Disconnected)
+    endClient();
   if (Disconnected || (Received->m_Error && m_StopReading) ||
       !m_Server.m_Reachability.allows(m_Client->m_PeerIp))
     co_return false;
   bool HasBody = !Received->m_Error && !Received->m_Parser->is_done();
-  while (HasBody && !m_Entries.empty() && !m_StopReading)
-    co_await waitForChange();
+  while ((HasBody || m_Client->m_WriteBlocked) && !m_Entries.empty() &&
+         !m_StopReading)
+    co_await waitUnread();
   if (m_StopReading)
     co_return false;
   co_await m_Server.receiveBody(m_Client, Received);
@@ -347,19 +481,33 @@
         co_await Self->handleEntry(std::move(Started));
       }(shared_from_this(), Item),
       asio::detached);
-  // A body is read by its handler; the next request comes after it.
+  // A body is read by its handler; the next request comes after it. Behind a
+  // request that ends the connection there is none.
   while (HasBody && !m_Entries.empty() && !m_StopReading)
     co_await waitForChange();
-  co_return !m_StopReading;
+  bool IsLast = !Received->m_Parser->keep_alive();
+  while (IsLast && !m_Entries.empty() && !m_StopReading)
+    co_await waitUnread();
+  co_return !m_StopReading && !IsLast;
 }
 
 asio::awaitable<void> HttpServer::Pipeline::handleEntry(EntryPtr Item) {
   HttpRequest Request = std::move(Item->m_Received->m_Request);
   bool HasBody = Item->m_RequestBody != nullptr || !Request.m_Body.empty();
+  // A process that was starved of CPU may read requests long after their
+  // clients have disconnected.
+  if (!HasBody && hasPeerClosed(m_Client->m_Stream.socket()))
+    Item->m_State->m_Closed = true;
   if (HasBody)
     Item->m_Response = co_await m_Server.handle(m_Client, std::move(Request));
   else
     Item->m_Response = co_await m_Server.runHandler(std::move(Request));
+  HttpResponse &Response = Item->m_Response;
+  if (BufferBudgetPtr Budget = m_Server.connectionBudget();
+      Budget && !Response.m_Buffered) {
+    Response.m_Buffered = std::make_shared<BufferedBytes>(Budget);
+    Response.m_Buffered->set(Response.m_Body.size());
+  }
   Item->m_IsDone = true;
   notify();
 }
@@ -419,9 +567,22 @@
     if (PeerError)
       continue;
     Socket.set_option(tcp::no_delay(true), PeerError);
+    BufferBudgetPtr Budget = connectionBudget();
+    std::size_t Needed = ConnectionBytes + ReadAheadBytes;
+    if (Budget &&
+        Budget->leftBytes() < Needed + bytesKeptFree(BudgetKeepDivisor)) {
+      reportRefusal(ErrorKind::BuffersFull);
+      asio::co_spawn(m_Io, refuseConnection(std::move(Socket)), asio::detached);
+      while (m_ClosingRefused >= MaxClosingRefused && !m_Stopping) {
+        asio::steady_timer Pause(m_Io, AcceptRetryDelay);
+        co_await Pause.async_wait(Await);
+      }
+      continue;
+    }
     auto Client = std::make_shared<Connection>(
         std::move(Socket),
-        std::max(MaxUnparsedBytes, m_Limits.m_MaxHeaderBytes + ReadAheadBytes));
+        std::max(MaxUnparsedBytes, m_Limits.m_MaxHeaderBytes + ReadAheadBytes),
+        Budget, bytesKeptFree(RequestKeepDivisor));
     Client->m_PeerIp = Peer.address().to_string();
     asio::co_spawn(m_Io, serveConnection(std::move(Client)), asio::detached);
   }
@@ -460,10 +621,17 @@
   RequestParser &Parser = *Into->m_Parser;
   Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_MaxHeaderBytes));
   Parser.body_limit(m_Limits.m_MaxBodyBytes);
-  Stream.expires_after(m_Limits.m_HeaderTimeout);
   auto [Error, Bytes] =
       co_await http::async_read_header(Stream, Client->m_Buffer, Parser, Await);
   Into->m_Error = Error;
+  BufferBudgetPtr Budget = connectionBudget();
+  if (!Budget)
+    co_return;
+  Into->m_Head.emplace(Budget, bytesKeptFree(RequestKeepDivisor));
+  // The parser and the request each have a copy of the head.
+  bool Fits =
+      Error || Into->m_Head->reserve(RequestBytes + 2 * headBytes(Parser));
+  Into->m_BuffersFull = !Fits || isBufferFull(Client->m_Buffer, Error);
 }
 
 asio::awaitable<void>
@@ -472,6 +640,8 @@
   beast::tcp_stream &Stream = Client->m_Stream;
   RequestParser &Parser = *Into->m_Parser;
   boost::system::error_code &Error = Into->m_Error;
+  if (Into->m_BuffersFull)
+    co_return; // Refused before its body is read.
   if (!Error && !Parser.is_done() &&
       beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> Continue{http::status::continue_, 11};
@@ -480,7 +650,8 @@
     Error = WriteError;
   }
   std::string Body;
-  BufferedBytes &Buffered = Into->m_Buffered.emplace(m_Limits.m_Budget);
+  BufferedBytes &Buffered = Into->m_Buffered.emplace(
+      m_Limits.m_Budget, bytesKeptFree(BodyKeepDivisor));
   while (!Error && !Parser.is_done() &&
          Body.size() < m_Limits.m_MaxBufferedBodyBytes &&
          Buffered.reserve(capacityForRead(Body))) {
@@ -490,7 +661,8 @@
   }
   bool Streams =
       m_Limits.m_MaxBufferedBodyBytes < std::numeric_limits<std::size_t>::max();
-  Into->m_BuffersFull = !Error && !Parser.is_done() && !Streams;
+  Into->m_BuffersFull = (!Error && !Parser.is_done() && !Streams) ||
+                        isBufferFull(Client->m_Buffer, Error);
   if (Error || Into->m_BuffersFull)
     co_return;
   HttpRequest &Request = Into->m_Request;
@@ -507,8 +679,9 @@
        State = Request.m_Client]() -> asio::awaitable<BodyFragment> {
     BodyFragment Fragment;
     Client->m_Stream.expires_after(m_Limits.m_ReadTimeout);
-    auto ReadError = co_await readBodyFragment(
-        Client->m_Stream, Client->m_Buffer, *Held, Fragment.m_Bytes);
+    auto ReadError = co_await readCountedFragment(
+        Client->m_Stream, Client->m_Buffer, *Held, Fragment, connectionBudget(),
+        bytesKeptFree(BudgetKeepDivisor));
     Client->m_Stream.expires_never();
     Fragment.m_Aborted = bool(ReadError);
     Fragment.m_Last = Held->is_done();
@@ -535,7 +708,10 @@
     return std::nullopt;
   reportRefusal(Kind);
   HttpResponse Refusal = errorResponse(
-      Kind, Received.m_Error ? Received.m_Error.message() : std::string());
+      Kind, Received.m_Error ? Received.m_Error.message() : std::string(),
+      m_Limits.m_CountsConnections && Kind == ErrorKind::BuffersFull
+          ? BuffersFullRetryAfter
+          : Duration{0});
   Refusal.m_CloseConnection = true;
   return Refusal;
 }
@@ -545,6 +721,8 @@
 asio::awaitable<bool> HttpServer::serveRequest(ConnectionPtr Client) {
   beast::tcp_stream &Stream = Client->m_Stream;
   if (Client->m_Buffer.size() == 0) {
+    if (m_Limits.m_CountsConnections)
+      Client->shrinkBuffer();
     Stream.expires_after(m_Limits.m_IdleTimeout);
     auto [Error, Bytes] = co_await Stream.async_read_some(
         Client->m_Buffer.prepare(ReadAheadBytes), Await);
@@ -555,6 +733,7 @@
   // From here on, stopAccepting() lets the request finish.
   Client->m_RequestInProgress = true;
   auto Received = std::make_shared<ReceivedRequest>();
+  Stream.expires_after(m_Limits.m_HeaderTimeout);
   co_await receiveHead(Client, Received);
   // Clients behind a simulated partition get no response.
   if (!m_Reachability.allows(Client->m_PeerIp))
@@ -634,17 +813,30 @@
   }
   if (!Chunked)
     Text += std::exchange(FirstFragment.m_Bytes, {}) + Response.m_ExtraBytes;
+  BufferedBytes Unwritten(connectionBudget());
+  if (m_Limits.m_CountsConnections) {
+    Unwritten.set(Text.capacity() + FirstFragment.m_Bytes.capacity());
+    Response.m_Buffered.reset(); // Counted the same bytes.
+  }
   ++m_ActiveRequests; // The request is active until its response is written.
   Stream.expires_after(m_Limits.m_WriteTimeout);
   boost::system::error_code Error;
   std::size_t Sent = writeWithoutBlocking(Stream.socket(), Text, Error);
   if (!Error && Sent < Text.size()) {
+    Client->setWriteBlocked(true);
     auto [WriteError, Written] = co_await asio::async_write(
         Stream, asio::buffer(Text.data() + Sent, Text.size() - Sent), Await);
+    Client->setWriteBlocked(false);
     Error = WriteError;
   }
-  if (!Error && !FirstFragment.m_Bytes.empty())
+  if (!Error && !FirstFragment.m_Bytes.empty()) {
+    Client->setWriteBlocked(true);
     Error = co_await writeBodyFragment(Stream, FirstFragment, Chunked);
+    Client->setWriteBlocked(false);
+  }
+  std::string().swap(Text); // Assigning an empty string would keep the memory.
+  std::string().swap(FirstFragment.m_Bytes);
+  Unwritten.set(0);
   while (!Error && Response.m_BodyStream && !IsHead) {
     BodyFragment Fragment = co_await Response.m_BodyStream->m_ReadNext();
     if (Fragment.m_Aborted) {
@@ -652,7 +844,9 @@
       break;
     }
     Stream.expires_after(m_Limits.m_WriteTimeout);
+    Client->setWriteBlocked(true);
     Error = co_await writeBodyFragment(Stream, Fragment, Chunked);
+    Client->setWriteBlocked(false);
     if (Fragment.m_Last)
       break;
   }
@@ -686,13 +880,48 @@
   }
 }
 
+BufferBudgetPtr HttpServer::connectionBudget() const {
+  return m_Limits.m_CountsConnections ? m_Limits.m_Budget : nullptr;
+}
+
+std::size_t HttpServer::bytesKeptFree(std::size_t Divisor) const {
+  BufferBudgetPtr Budget = connectionBudget();
+  return Budget ? Budget->limitBytes() / Divisor : 0;
+}
+
+// The response is sent before the request is read, as reading it takes memory.
+// It is true: nothing of the request has run.
+asio::awaitable<void> HttpServer::refuseConnection(tcp::socket Socket) {
+  ++m_ClosingRefused;
+  beast::tcp_stream Stream(std::move(Socket));
+  boost::system::error_code Error;
+  auto Peer = Stream.socket().remote_endpoint(Error);
+  if (!Error && m_Reachability.allows(Peer.address().to_string())) {
+    HttpResponse Refusal =
+        errorResponse(ErrorKind::BuffersFull, {}, BuffersFullRetryAfter);
+    bool Chunked = false;
+    std::string Text =
+        responseHead(Refusal, false, false, Chunked) + Refusal.m_Body;
+    writeWithoutBlocking(Stream.socket(), Text, Error);
+    Stream.socket().shutdown(tcp::socket::shutdown_send, Error);
+    Stream.expires_after(LingerTimeout);
+    bool Reads = true;
+    for (std::size_t Total = 0; Reads && Total < MaxLingerBytes;) {
+      auto [ReadError, Bytes] =
+          co_await Stream.async_read_some(discardBuffer(), Await);
+      Total += Bytes;
+      Reads = !ReadError;
+    }
+  }
+  --m_ClosingRefused;
+}
+
 // Reads until the client closes the connection or a limit is reached.
 asio::awaitable<void> HttpServer::lingeringClose(ConnectionPtr Client) {
   Client->m_Stream.expires_after(LingerTimeout);
   for (std::size_t Total = 0; Total < MaxLingerBytes;) {
-    Client->m_Buffer.clear();
-    auto [Error, Bytes] = co_await Client->m_Stream.async_read_some(
-        Client->m_Buffer.prepare(BodyReadBytes), Await);
+    auto [Error, Bytes] =
+        co_await Client->m_Stream.async_read_some(discardBuffer(), Await);
     if (Error)
       co_return;
     Total += Bytes;
--- a/test/HttpPipelineTest.cpp
+++ b/test/HttpPipelineTest.cpp
@@ -26,7 +26,8 @@
   int m_MostRunning = 0;
 };
 
-asio::awaitable<HttpResponse> handleTimed(HttpRequest Request, Observed &Seen) {
+asio::awaitable<HttpResponse> handleTimed(HttpRequest Request, Observed &Seen,
+                                          std::size_t BodyBytes) {
   std::string Target = Request.m_Target;
   std::string Label = Target.substr(Target.rfind('/') + 1);
   Seen.m_Started.push_back(Label);
@@ -38,6 +39,7 @@
   --Seen.m_Running;
   Seen.m_Ended.push_back(Label);
   HttpResponse Response{200, {}, Label + ";"};
+  Response.m_Body.append(BodyBytes, ' ');
   Response.m_CloseConnection = Label == "close";
   co_return Response;
 }
@@ -85,16 +87,24 @@
   Observed m_Seen;
   HttpServer m_Server;
   std::uint16_t m_Port = 0;
+  std::size_t m_BodyBytes = 0; // Added to each response.
 
   explicit PipelineFixture(int Depth, BufferBudgetPtr Budget = nullptr)
-      : m_Server(m_Io, m_Reach, limits(Depth, std::move(Budget)),
-                 [this](HttpRequest Request) {
-                   return handleTimed(std::move(Request), m_Seen);
-                 }) {
+      : PipelineFixture(limits(Depth, std::move(Budget))) {}
+  explicit PipelineFixture(const HttpServerLimits &Limits)
+      : m_Server(m_Io, m_Reach, Limits, [this](HttpRequest Request) {
+          return handleTimed(std::move(Request), m_Seen, m_BodyBytes);
+        }) {
     auto Started = m_Server.start("127.0.0.1", 0);
     REQUIRE(Started);
     m_Port = Started.value();
   }
+  void wait(Duration Length) {
+    asio::co_spawn(m_Io, sleepFor(Length),
+                   [this](const std::exception_ptr &) { m_Io.stop(); });
+    m_Io.restart();
+    m_Io.run();
+  }
   static HttpServerLimits limits(int Depth, BufferBudgetPtr Budget) {
     HttpServerLimits Limits;
     Limits.m_MaxPipelinedRequests = Depth;
@@ -229,6 +239,96 @@
     CHECK(Got.m_Received.find("a;") < Got.m_Received.find("400 Bad Request"));
   }
 
+  // Guards against servers that work on for a caller that has left while the
+  // connection was not read, as no more requests may be in progress.
+  TEST_CASE("a disconnect is noticed while no request is read") {
+    struct Row {
+      const char *m_Name;
+      std::string m_Text;
+      std::size_t m_Closed;
+    };
+    std::string Eight;
+    for (int I = 0; I < 8; ++I)
+      Eight += get("/1500/r");
+    const Row Rows[] = {
+        {"as many as allowed", Eight, 8},
+        {"more than allowed", Eight + get("/1500/r") + get("/1500/r"), 8},
+        {"a body waits", get("/1500/a") + Upload, 1},
+        {"a request that ends the connection",
+         "GET /1500/a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 1},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      PipelineFixture Fixture(8);
+      Fixture.run({Case.m_Text}, 100ms, 0ms);
+      Fixture.wait(400ms);
+      CHECK(Fixture.m_Seen.m_Closed.size() == Case.m_Closed);
+      CHECK(Fixture.m_Seen.m_Started.size() == Case.m_Closed);
+      CHECK(Fixture.m_Server.connections() == 0);
+    }
+  }
+
+  // Guards against connections that stay open for ever once a request was
+  // served, and against a slow request head that ends the requests before it.
+  TEST_CASE(
+      "idle connections and slow heads end, requests in progress do not") {
+    struct Row {
+      const char *m_Name;
+      std::string m_Text;
+      const char *m_Bodies;
+      Duration m_AtLeast;
+    };
+    const Row Rows[] = {
+        {"nothing sent", "", "", 200ms},
+        {"idle after a request", get("/50/a"), "a;", 250ms},
+        {"a slow head", "GET /50/a HTTP/1.1\r\n", "", 100ms},
+        {"a slow head behind a request", get("/500/a") + "GET /50/b HTT", "a;",
+         500ms},
+        {"a slow head after a request", get("/10/a") + "GET /50/b HTT", "a;",
+         100ms},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      HttpServerLimits Limits = PipelineFixture::limits(8, nullptr);
+      Limits.m_IdleTimeout = 200ms;
+      Limits.m_HeaderTimeout = 100ms;
+      PipelineFixture Fixture(Limits);
+      Exchanged Got = Fixture.run({Case.m_Text}, 3s);
+      CHECK(bodies(Got.m_Received) == Case.m_Bodies);
+      CHECK(Fixture.m_Seen.m_Closed.empty());
+      CHECK(Got.m_Took >= Case.m_AtLeast - 10ms);
+      CHECK(Got.m_Took < Case.m_AtLeast + 700ms);
+      CHECK(Fixture.m_Server.connections() == 0);
+    }
+  }
+
+  // Guards against requests that run although the client has said that an
+  // earlier one is its last.
+  TEST_CASE("nothing is run behind a request that ends the connection") {
+    PipelineFixture Fixture(8);
+    Exchanged Got = Fixture.run(
+        {get("/50/a") +
+         "GET /100/b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" +
+         get("/10/c")},
+        3s);
+    CHECK(bodies(Got.m_Received) == "a;b;");
+    CHECK(Fixture.m_Seen.m_Started == std::vector<std::string>{"a", "b"});
+    CHECK(Got.m_Took < 1s);
+  }
+
+  // Guards against requests that run for a client that does not read.
+  TEST_CASE("while a response cannot be written no request is read") {
+    PipelineFixture Fixture(8);
+    Fixture.m_BodyBytes = 16U << 20U;
+    std::string Later = get("/10/b") + get("/10/c");
+    std::vector<std::string> StartedUnread;
+    Exchanged Got = Fixture.run(
+        {get("/0/a"), Later}, 2s, 300ms,
+        [&] { StartedUnread = Fixture.m_Seen.m_Started; }, 500ms);
+    CHECK(StartedUnread == std::vector<std::string>{"a"});
+    CHECK(bodies(Got.m_Received) == "a;b;c;");
+  }
+
   // Guards against memory that grows with what clients pipeline.
   TEST_CASE("without memory to spare requests are read one at a time") {
     PipelineFixture Fixture(8,
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -267,7 +267,7 @@
 
 // Runs one upload through an HttpServer that forwards it with an HttpClient.
 UploadOutcome runUpload(const UploadServer &RunServer, const std::string &Body,
-                        bool Chunked) {
+                        bool Chunked, int PipelinedRequests = 1) {
   HttpFixture Fixture;
   HttpClientLimits ClientLimits;
   ClientLimits.m_MaxBufferedBodyBytes = 64U << 10U;
@@ -279,6 +279,7 @@
   HttpServerLimits Limits;
   Limits.m_MaxBodyBytes = 2 * UploadBytes;
   Limits.m_MaxBufferedBodyBytes = 64U << 10U;
+  Limits.m_MaxPipelinedRequests = PipelinedRequests;
   HttpServer Server(
       Fixture.m_Io, Fixture.m_Reach, Limits,
       [&](HttpRequest Request) -> asio::awaitable<HttpResponse> {
@@ -488,14 +489,19 @@
     struct Row {
       const char *m_Name;
       bool m_Disconnects;
+      int m_PipelinedRequests;
     };
     for (const Row &Case :
-         {Row{"client waits", false}, Row{"client disconnects", true}}) {
+         {Row{"client waits", false, 1}, Row{"client disconnects", true, 1},
+          Row{"client waits, pipelining", false, 8},
+          Row{"client disconnects, pipelining", true, 8}}) {
       CAPTURE(Case.m_Name);
       HttpFixture Fixture;
       int Handled = 0;
       int Disconnects = 0;
-      HttpServer Server(Fixture.m_Io, Fixture.m_Reach, HttpServerLimits{},
+      HttpServerLimits Limits;
+      Limits.m_MaxPipelinedRequests = Case.m_PipelinedRequests;
+      HttpServer Server(Fixture.m_Io, Fixture.m_Reach, Limits,
                         [&](HttpRequest R) -> asio::awaitable<HttpResponse> {
                           ++Handled;
                           Disconnects += R.m_Client->m_Closed ? 1 : 0;
@@ -961,22 +967,24 @@
         {"in chunks", true, 200000, 200ms, 8},
         {"in chunks, without a pause", true, 200000, 0ms, 8},
     };
-    for (const UploadPlan &Plan : Plans) {
-      CAPTURE(Plan.m_Name);
-      UploadOutcome Got = runUpload(
-          [&](tcp::acceptor &Acceptor, UploadOutcome &Out) {
-            return earlyAnswerServer(Acceptor, Plan, Out);
-          },
-          Body, Plan.m_Chunked);
-      auto Wrong = std::mismatch(Got.m_Uploaded.begin(), Got.m_Uploaded.end(),
-                                 Body.begin(), Body.end());
-      CHECK(Wrong.first - Got.m_Uploaded.begin() ==
-            static_cast<std::ptrdiff_t>(Got.m_Uploaded.size()));
-      CHECK(Got.m_Uploaded.size() == Body.size());
-      CHECK(Got.m_Answer.starts_with("HTTP/1.1 200"));
-      CHECK(Got.m_Answer.ends_with("\r\n\r\n" +
-                                   std::string(Plan.m_AnswerBytes, 'a')));
-    }
+    for (int PipelinedRequests : {1, 8})
+      for (const UploadPlan &Plan : Plans) {
+        CAPTURE(Plan.m_Name);
+        CAPTURE(PipelinedRequests);
+        UploadOutcome Got = runUpload(
+            [&](tcp::acceptor &Acceptor, UploadOutcome &Out) {
+              return earlyAnswerServer(Acceptor, Plan, Out);
+            },
+            Body, Plan.m_Chunked, PipelinedRequests);
+        auto Wrong = std::mismatch(Got.m_Uploaded.begin(), Got.m_Uploaded.end(),
+                                   Body.begin(), Body.end());
+        CHECK(Wrong.first - Got.m_Uploaded.begin() ==
+              static_cast<std::ptrdiff_t>(Got.m_Uploaded.size()));
+        CHECK(Got.m_Uploaded.size() == Body.size());
+        CHECK(Got.m_Answer.starts_with("HTTP/1.1 200"));
+        CHECK(Got.m_Answer.ends_with("\r\n\r\n" +
+                                     std::string(Plan.m_AnswerBytes, 'a')));
+      }
   }
 
   TEST_CASE("long bodies are streamed in both directions") {
--- a/test/StoreTest.cpp
+++ b/test/StoreTest.cpp
@@ -51,7 +51,7 @@
           [Text = std::exchange(Response.m_Body, {}),
            Next]() -> asio::awaitable<BodyFragment> {
         co_await sleepFor(Next.m_BodyDelay);
-        BodyFragment Body{Text, true, false};
+        BodyFragment Body{Text, true, false, nullptr};
         co_return Body;
       };
     }
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -51,8 +51,16 @@
   return Limits;
 }
 
-HttpClientLimits backendLimits(BufferBudgetPtr Budget) {
+// Whether the accounting of connections is active: where pipelined requests run
+// side by side, see NodeSettings::m_MaxPipelinedRequests.
+bool countsConnections(const NodeSettings &Settings) {
+  return Settings.m_MaxPipelinedRequests > 1;
+}
+
+HttpClientLimits backendLimits(const NodeSettings &Settings,
+                               BufferBudgetPtr Budget) {
   HttpClientLimits Limits;
+  Limits.m_CountsConnections = countsConnections(Settings);
   Limits.m_Budget = std::move(Budget);
   Limits.m_MaxBodyBytes = MaxBackendResponseBytes;
   Limits.m_MaxBufferedBodyBytes = BufferedBodyBytes;
@@ -65,8 +73,9 @@
 
 // Every VM frames its responses, so that a lost connection never looks like the
 // end of one.
-HttpClientLimits detourLimits(BufferBudgetPtr Budget) {
-  HttpClientLimits Limits = backendLimits(std::move(Budget));
+HttpClientLimits detourLimits(const NodeSettings &Settings,
+                              BufferBudgetPtr Budget) {
+  HttpClientLimits Limits = backendLimits(Settings, std::move(Budget));
   Limits.m_AcceptCloseDelimited = false;
   return Limits;
 }
@@ -84,6 +93,7 @@
   Limits.m_MaxConnections = static_cast<int>(Settings.m_MaxConnections);
   Limits.m_MaxConnectionsPerIp = Limits.m_MaxConnections;
   Limits.m_MaxPipelinedRequests = Settings.m_MaxPipelinedRequests;
+  Limits.m_CountsConnections = countsConnections(Settings);
   return Limits;
 }
 
@@ -103,10 +113,10 @@
           static_cast<double>(m_Settings.m_MemoryBytes) *
           BufferedMemoryShare))),
       m_BackendClient(Io, m_Reachability, m_Settings.m_Ip,
-                      backendLimits(m_BufferBudget)),
+                      backendLimits(m_Settings, m_BufferBudget)),
       m_PeerClient(Io, m_Reachability, m_Settings.m_Ip),
       m_DetourClient(Io, m_Reachability, m_Settings.m_Ip,
-                     detourLimits(m_BufferBudget)),
+                     detourLimits(m_Settings, m_BufferBudget)),
       m_CallerServer(
           Io, m_Reachability,
           callerLimits(RequestLimits{}, m_Settings, m_BufferBudget),
