--- a/lib/Quota.cpp
+++ b/lib/Quota.cpp
@@ -555,6 +555,7 @@
     m_Sequence =
         static_cast<std::uint64_t>(std::max<Time>(Now, Time{0}).count());
   std::vector<QuotaAsk> Asks;
+  Asks.reserve(Repeated.size() + ByRegion.size());
   for (auto &[Key, Ask] : Repeated)
     Asks.push_back(std::move(Ask));
   for (auto &[Region, Ask] : ByRegion) {
--- a/test/HttpPipelineTest.cpp
+++ b/test/HttpPipelineTest.cpp
@@ -112,7 +112,7 @@
     return Limits;
   }
   Exchanged run(std::vector<std::string> Texts, Duration CloseAfter,
-                Duration Pause = 0ms, std::function<void()> After = {},
+                Duration Pause = 0ms, const std::function<void()> &After = {},
                 Duration AfterTime = 0ms) {
     Exchanged Out;
     if (After)
--- a/test/QueueDepthTest.cpp
+++ b/test/QueueDepthTest.cpp
@@ -27,6 +27,7 @@
                   DispatchLimits Limits = {})
       : m_Dispatcher("home", Limits) {
     std::vector<BackendInfo> Rows;
+    Rows.reserve(Servers.size());
     for (const std::string &Id : Servers)
       Rows.push_back(server(Id));
     m_Dispatcher.fleet().update(Rows, m_Now);
--- a/test/QuotaModel.h
+++ b/test/QuotaModel.h
@@ -286,6 +286,7 @@
         std::size_t To = m_Names.at(Name);
         auto Answer = [this, I, To, Ask, Asked = Rows] {
           std::vector<QuotaGrantRow> Grants;
+          Grants.reserve(Asked.size());
           for (const QuotaAskRow &Each : Asked)
             Grants.push_back(m_Vms[To].m_Holder.answer(
                 Each, m_Now, I, To == I ? 0 : Ask.m_Sequence));
