Responses without a length: see the reset that a write has met

What callers saw: an instance answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still written. The caller got the part as a complete answer, over 64 KB with the last chunk behind it.

Cause: the kernel reports a failed connection once, to the first operation on the socket. Under an upload that is the write, as Asio performs a waiting write before a waiting read; the read after it returns 0, and Beast takes that for the end of a body without a length. HttpClient::writeRestOfRequest only noted that the request was not written. The same holds for every failure of a connection, so also when the kernel gives up on unacknowledged bytes (TCP_USER_TIMEOUT) at a server that answers in part, then stops reading and never resets.

Ruled out: deadline, cancel and a caller who breaks off the body close the socket, and a later read of it fails; responses with a length or in chunks fail by their framing; clients of peers and of the store take no response without a length.

Change: where the body ends with its connection and the request is not written whole, it is complete only if no write has failed and poll() reports neither POLLERR nor POLLHUP. The check stands where a response ends, for bodies in memory and streamed ones. poll() is needed because a read can be resumed before the write that met the reset, when both are woken together.

Why it works: POLLHUP follows from the state of the connection, which no operation takes away, and a client that only got a FIN does not have it. Once the request is written no write can take the error, so the read gets it, and a FIN that came before a reset still ends a body. What cannot be told apart is an instance that ends its answer and closes with unread bytes, which resets: it counts as cut, as an answer that is reset on the way is not complete.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace rhubarb::net {
 namespace {
@@ -50,6 +51,13 @@
   return Error != asio::error::would_block;
 }
 
+// Returns whether a connection has ended in both directions, as after a reset.
+bool hasFailed(tcp::socket &Socket) {
+  pollfd Polled{Socket.native_handle(), 0, 0};
+  return ::poll(&Polled, 1, 0) > 0 &&
+         (Polled.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 // Returns for how long an idle connection may be reused: the timeout in the
 // server's Keep-Alive header, if any, less a margin of at most half of it; but
 // no longer than Limit.
@@ -126,9 +134,20 @@
   bool m_Chunked = false;
   bool m_IsHead = false;
   bool m_RequestWritten = false; // The whole request has been written.
+  bool m_WriteFailed = false;    // A part of it could not be written.
   ConnectionPtr m_Connection;
   std::optional<ResponseParser> m_Parser;
   HttpResult m_Result;
+
+  // Returns whether the body has ended with its connection, and that end may
+  // be a failure. The kernel reports a failure once, to whichever operation
+  // comes first; a read after that sees an end of the stream like any other.
+  // The write that has met the failure may still have to be resumed, so the
+  // socket is asked as well.
+  bool mayBeTruncated(tcp::socket &Socket) const {
+    return m_Parser->is_done() && m_Parser->need_eof() && !m_RequestWritten &&
+           (m_WriteFailed || hasFailed(Socket));
+  }
 };
 
 HttpClient::HttpClient(asio::io_context &Io, const Reachability &Reach,
@@ -373,8 +392,9 @@
       co_return;
     }
   }
-  if (Parser.need_eof() && !State->m_IsHead &&
-      !m_Limits.m_AcceptCloseDelimited) {
+  bool CloseDelimited = Parser.need_eof() && !State->m_IsHead;
+  if ((CloseDelimited && !m_Limits.m_AcceptCloseDelimited) ||
+      State->mayBeTruncated(Stream.socket())) {
     Result.m_Failure = HttpFailure::Incomplete;
     co_return;
   }
@@ -412,6 +432,7 @@
     Ended = Fragment.m_Last;
   }
   State->m_RequestWritten = !Error;
+  State->m_WriteFailed = bool(Error);
 }
 
 // Reads response headers up to the one that belongs to the request. On failure
@@ -493,8 +514,9 @@
         Held->m_Stream, Held->m_Buffer, *State->m_Parser, Fragment,
         m_Limits.m_CountsConnections ? m_Limits.m_Budget : nullptr,
         bytesKeptFree());
-    Fragment.m_Aborted = bool(Error);
-    Fragment.m_Last = !Error && State->m_Parser->is_done();
+    Fragment.m_Aborted =
+        Error || State->mayBeTruncated(Held->m_Stream.socket());
+    Fragment.m_Last = !Fragment.m_Aborted && State->m_Parser->is_done();
     if (Fragment.m_Last) {
       State->m_Connection = Held;
       returnToPool(*State);
--- /dev/null
+++ b/test/RawExchange.h
@@ -0,0 +1,202 @@
+// A stand-in for a backend server in trouble, and uploads to it. The server
+// answers with raw bytes and ends the connection in a chosen way, whether or
+// not it has read the request.
+#pragma once
+
+#include "net/Clock.h"
+#include "net/Daemon.h"
+#include "net/HttpBody.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace rhubarb::test {
+
+using namespace rhubarb::net;
+using asio::ip::tcp;
+
+// Ends every upload, so that the server knows when it has read the whole one.
+inline constexpr std::string_view UploadEnd = "[end of the upload]";
+
+// How the server ends the connection after its answer.
+enum class ConnectionEnd : std::uint8_t {
+  Close, // Stops sending, and reads until the client closes.
+  Reset,
+  CloseThenReset, // Stops sending, and resets at once.
+  Silent,         // Neither reads nor writes.
+};
+
+struct RawAnswer {
+  std::string m_Text;
+  ConnectionEnd m_End = ConnectionEnd::Reset;
+  bool m_ReadsUpload = false; // Reads the whole upload before it answers.
+  Duration m_PauseBefore{0};  // Between the request and the answer.
+  Duration m_PauseAfter{0};   // Between the answer and the end.
+};
+
+// Closes a connection with a reset.
+inline void resetConnection(tcp::socket &Socket) {
+  boost::system::error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  Socket.close(Ignored);
+}
+
+// Reads once and keeps the last bytes received in Tail. Returns false at the
+// end of the connection.
+inline asio::awaitable<bool> readMore(tcp::socket &Socket, std::string &Tail) {
+  constexpr std::size_t TailBytes = 64;
+  std::string Buffer(BodyReadBytes, '\0');
+  auto [Error, Bytes] =
+      co_await Socket.async_read_some(asio::buffer(Buffer), Await);
+  Tail.append(Buffer, 0, Bytes);
+  Tail.erase(0, Tail.size() - std::min(Tail.size(), TailBytes));
+  co_return !Error;
+}
+
+// Whether the last bytes received end an upload, with a length or in chunks.
+inline bool endsUpload(std::string_view Tail) {
+  constexpr std::string_view LastChunk = "\r\n0\r\n\r\n";
+  if (Tail.ends_with(LastChunk))
+    Tail.remove_suffix(LastChunk.size());
+  return Tail.ends_with(UploadEnd);
+}
+
+// Answers the request of one connection.
+inline asio::awaitable<void> answerRaw(std::shared_ptr<tcp::socket> Socket,
+                                       RawAnswer Answer) {
+  std::string Tail;
+  do {
+    if (!co_await readMore(*Socket, Tail))
+      co_return;
+  } while (Answer.m_ReadsUpload && !endsUpload(Tail));
+  co_await sleepFor(Answer.m_PauseBefore);
+  co_await asio::async_write(*Socket, asio::buffer(Answer.m_Text), Await);
+  co_await sleepFor(Answer.m_PauseAfter);
+  boost::system::error_code Ignored;
+  switch (Answer.m_End) {
+  case ConnectionEnd::CloseThenReset:
+    Socket->shutdown(tcp::socket::shutdown_send, Ignored);
+    resetConnection(*Socket);
+    break;
+  case ConnectionEnd::Reset:
+    resetConnection(*Socket);
+    break;
+  case ConnectionEnd::Silent:
+    co_await sleepFor(1min);
+    break;
+  case ConnectionEnd::Close:
+    Socket->shutdown(tcp::socket::shutdown_send, Ignored);
+    while (co_await readMore(*Socket, Tail))
+      ;
+  }
+}
+
+inline std::string addressOf(const tcp::acceptor &Acceptor) {
+  return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+}
+
+// Accepts connections until the event loop ends.
+inline asio::awaitable<void> acceptRaw(tcp::acceptor &Acceptor,
+                                       RawAnswer Answer) {
+  for (;;) {
+    auto [Error, Accepted] = co_await Acceptor.async_accept(Await);
+    if (Error)
+      co_return;
+    asio::co_spawn(
+        Acceptor.get_executor(),
+        answerRaw(std::make_shared<tcp::socket>(std::move(Accepted)), Answer),
+        asio::detached);
+  }
+}
+
+inline constexpr std::size_t UploadBytes = 8U << 20U;
+inline constexpr Duration RequestTimeout = 3s;
+
+// How the client sends its body.
+enum class Upload : std::uint8_t { None, Whole, WithLength, InChunks };
+
+// What ends an exchange from the client's side, beside the server.
+struct ClientEnd {
+  Duration m_Timeout = RequestTimeout;
+  Duration m_TcpUserTimeout{0};
+  Duration m_CancelAfter{0}; // 0: never.
+  bool m_AbortsBody = false; // The sender of the body breaks it off.
+  bool m_FullBudget = false; // Responses are streamed from the start.
+};
+
+struct Received {
+  HttpFailure m_Failure = HttpFailure::None;
+  int m_Status = 0;
+  std::string m_Body;
+  bool m_IsWhole = false; // The body has ended without an error.
+  Duration m_Took{0};
+};
+
+inline HttpRequest makeUpload(Upload Kind, bool Aborts = false) {
+  constexpr std::size_t FragmentBytes = 64U << 10U;
+  HttpRequest Request;
+  if (Kind == Upload::None)
+    return Request;
+  Request.m_Method = "POST";
+  std::string Last(FragmentBytes, 'u');
+  Last.replace(FragmentBytes - UploadEnd.size(), UploadEnd.size(), UploadEnd);
+  if (Kind == Upload::Whole) {
+    Request.m_Body = std::string(UploadBytes - FragmentBytes, 'u') + Last;
+    return Request;
+  }
+  Request.m_Body = std::string(FragmentBytes, 'u');
+  Request.m_BodyStream = std::make_shared<BodyStream>();
+  if (Kind == Upload::WithLength)
+    Request.m_BodyStream->m_ContentLength = UploadBytes;
+  Request.m_BodyStream->m_ReadNext =
+      [Left = UploadBytes - FragmentBytes, Aborts,
+       Last]() mutable -> asio::awaitable<BodyFragment> {
+    BodyFragment Fragment;
+    if (Aborts) {
+      co_await sleepFor(50ms);
+      Fragment.m_Aborted = true;
+      co_return Fragment;
+    }
+    Left -= FragmentBytes;
+    Fragment.m_Last = Left == 0;
+    Fragment.m_Bytes = Fragment.m_Last ? Last : std::string(FragmentBytes, 'u');
+    co_return Fragment;
+  };
+  return Request;
+}
+
+inline asio::awaitable<void> cancelLater(std::shared_ptr<Cancellation> Token,
+                                         Duration After) {
+  co_await sleepFor(After);
+  Token->cancel();
+}
+
+// Sends a request and reads its response to the end.
+inline asio::awaitable<void> exchange(HttpClient &Client, std::string Address,
+                                      HttpRequest Request, ClientEnd End,
+                                      Received &Out) {
+  Time Began = now();
+  SendOptions Options;
+  Options.m_Cancellation = std::make_shared<Cancellation>();
+  if (End.m_CancelAfter.count() > 0)
+    asio::co_spawn(co_await asio::this_coro::executor,
+                   cancelLater(Options.m_Cancellation, End.m_CancelAfter),
+                   asio::detached);
+  HttpResult Got = co_await Client.send(Address, std::move(Request),
+                                        Began + End.m_Timeout, Options);
+  Out.m_Failure = Got.m_Failure;
+  Out.m_Status = Got.m_Response.m_Status;
+  Out.m_Body = std::move(Got.m_Response.m_Body);
+  Out.m_IsWhole = Got.m_Failure == HttpFailure::None;
+  while (Out.m_IsWhole && Got.m_Response.m_BodyStream) {
+    BodyFragment Fragment = co_await Got.m_Response.m_BodyStream->m_ReadNext();
+    Out.m_Body += Fragment.m_Bytes;
+    Out.m_IsWhole = !Fragment.m_Aborted;
+    if (Fragment.m_Last)
+      break;
+  }
+  Out.m_Took = now() - Began;
+}
+
+} // namespace rhubarb::test
