Responses: refuse folded header lines

What callers saw: an instance in trouble sent a head with a line that begins with a blank or a tab, as if the name of a field began so. The caller got the answer with that line joined to the field above it. After the stamp the stamp was another one; after any field a Content-Length could vanish, and the body then ran to the end of the connection.

Cause: the line is an obsolete fold (RFC 9112, 5.2). Beast's parser joins it to the value of the line before, and nothing after it can tell. All other blanks and control bytes in a field's name, before its colon and as first line, and names that are empty or have no colon, it refuses, and so do its trailers.

Change: HttpClient reads heads with a loop of its own that looks at the bytes which the parser consumes, and ends with bad_field at a fold. RFC 9112 leaves a gateway two ways, to replace the fold by blanks or to discard the response. An instance that folds is one in trouble, and the stamp must be the instance's own or none, so the response is discarded: malformed, 502 or a retry where that is allowed, never a field that the instance did not send. All readers of responses go through this loop: attempts, retries, detours, health requests, the store, the command line.

Why it works: the parser consumes a field with all lines that continue it in one step, so a fold always lies within the bytes of one step, however they arrive; and it stops at the end of the head, so lines of a body are not looked at.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
 
 #include <array>
 #include <charconv>
@@ -98,6 +99,38 @@
   return serializeHead(Message);
 }
 
+// Reads the head of a response. Refuses lines that continue the one before
+// (RFC 9112, section 5.2), which the parser would join to its value: a server
+// in trouble would change a field that callers rely on.
+asio::awaitable<boost::system::error_code> readHead(beast::tcp_stream &Stream,
+                                                    ReadBuffer &Buffer,
+                                                    ResponseParser &Parser) {
+  for (;;) {
+    boost::system::error_code Error = http::error::need_more;
+    if (Buffer.size() > 0) {
+      // The parser consumes whole lines with all that continue them.
+      std::string_view Unparsed(
+          static_cast<const char *>(Buffer.cdata().data()), Buffer.size());
+      std::size_t Parsed = Parser.put(Buffer.cdata(), Error);
+      std::string_view Lines = Unparsed.substr(0, Parsed);
+      if (Lines.find("\r\n ") != std::string_view::npos ||
+          Lines.find("\r\n\t") != std::string_view::npos)
+        co_return http::error::bad_field;
+      Buffer.consume(Parsed);
+    }
+    if (Error != http::error::need_more)
+      co_return Error;
+    std::size_t ReadBytes = beast::read_size(Buffer, MaxUnparsedBytes);
+    if (ReadBytes == 0)
+      co_return http::error::buffer_overflow;
+    auto [ReadError, Bytes] =
+        co_await Stream.async_read_some(Buffer.prepare(ReadBytes), Await);
+    Buffer.commit(Bytes);
+    if (ReadError)
+      co_return ReadError;
+  }
+}
+
 // Interim responses that HTTP defines. 101 is none of them here, as no request
 // asks to switch protocols.
 bool isInterim(int Status) {
@@ -447,8 +480,7 @@
     ResponseParser &Parser = State->m_Parser.emplace();
     Parser.body_limit(m_Limits.m_MaxBodyBytes);
     Parser.skip(State->m_IsHead);
-    auto [Error, Bytes] =
-        co_await http::async_read_header(Stream, Buffer, Parser, Await);
+    auto Error = co_await readHead(Stream, Buffer, Parser);
     if (Error) {
       Result.m_Failure = toFailure(Error);
       co_return false;
--- a/test/HttpResponseEndTest.cpp
+++ b/test/HttpResponseEndTest.cpp
@@ -14,31 +14,6 @@
 
 namespace {
 
-HttpClientLimits makeLimits(const ClientEnd &End) {
-  HttpClientLimits Limits;
-  Limits.m_AcceptCloseDelimited = true;
-  Limits.m_MaxBufferedBodyBytes = 64U << 10U;
-  Limits.m_TcpUserTimeout = End.m_TcpUserTimeout;
-  if (End.m_FullBudget)
-    Limits.m_Budget = std::make_shared<BufferBudget>(1);
-  return Limits;
-}
-
-Received send(const RawAnswer &Answer, Upload Kind, const ClientEnd &End = {}) {
-  asio::io_context Io{1};
-  Reachability Reach;
-  HttpClient Client(Io, Reach, "127.0.0.1", makeLimits(End));
-  tcp::acceptor Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0});
-  asio::co_spawn(Io, acceptRaw(Acceptor, Answer), asio::detached);
-  Received Out;
-  asio::co_spawn(Io,
-                 exchange(Client, addressOf(Acceptor),
-                          makeUpload(Kind, End.m_AbortsBody), End, Out),
-                 [&](const std::exception_ptr &) { Io.stop(); });
-  Io.run();
-  return Out;
-}
-
 std::string withoutLength(std::size_t BodyBytes) {
   return "HTTP/1.1 200 OK\r\n\r\n" + std::string(BodyBytes, 'a');
 }
--- a/test/RawExchange.h
+++ b/test/RawExchange.h
@@ -33,6 +33,7 @@
   bool m_ReadsUpload = false; // Reads the whole upload before it answers.
   Duration m_PauseBefore{0};  // Between the request and the answer.
   Duration m_PauseAfter{0};   // Between the answer and the end.
+  bool m_SendsBytewise = false;
 };
 
 // Closes a connection with a reset.
@@ -71,7 +72,13 @@
       co_return;
   } while (Answer.m_ReadsUpload && !endsUpload(Tail));
   co_await sleepFor(Answer.m_PauseBefore);
-  co_await asio::async_write(*Socket, asio::buffer(Answer.m_Text), Await);
+  std::size_t PartBytes = Answer.m_SendsBytewise ? 1 : Answer.m_Text.size();
+  for (std::size_t At = 0; At < Answer.m_Text.size(); At += PartBytes) {
+    auto Part = asio::buffer(Answer.m_Text.data() + At, PartBytes);
+    co_await asio::async_write(*Socket, Part, Await);
+    if (Answer.m_SendsBytewise)
+      co_await sleepFor(500us);
+  }
   co_await sleepFor(Answer.m_PauseAfter);
   boost::system::error_code Ignored;
   switch (Answer.m_End) {
@@ -199,4 +206,31 @@
   Out.m_Took = now() - Began;
 }
 
+inline HttpClientLimits makeLimits(const ClientEnd &End) {
+  HttpClientLimits Limits;
+  Limits.m_AcceptCloseDelimited = true;
+  Limits.m_MaxBufferedBodyBytes = 64U << 10U;
+  Limits.m_TcpUserTimeout = End.m_TcpUserTimeout;
+  if (End.m_FullBudget)
+    Limits.m_Budget = std::make_shared<BufferBudget>(1);
+  return Limits;
+}
+
+// Sends one request to a server that answers it.
+inline Received send(const RawAnswer &Answer, Upload Kind,
+                     const ClientEnd &End = {}) {
+  asio::io_context Io{1};
+  Reachability Reach;
+  HttpClient Client(Io, Reach, "127.0.0.1", makeLimits(End));
+  tcp::acceptor Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::co_spawn(Io, acceptRaw(Acceptor, Answer), asio::detached);
+  Received Out;
+  asio::co_spawn(Io,
+                 exchange(Client, addressOf(Acceptor),
+                          makeUpload(Kind, End.m_AbortsBody), End, Out),
+                 [&](const std::exception_ptr &) { Io.stop(); });
+  Io.run();
+  return Out;
+}
+
 } // namespace rhubarb::test
