--- a/test/HttpResponseEndTest.cpp
+++ b/test/HttpResponseEndTest.cpp
@@ -78,7 +78,8 @@
         {3000, 100ms, 0ms},  {3000, 100ms, 10ms}, {90000, 0ms, 20ms},
         {90000, 100ms, 0ms}, {400000, 0ms, 20ms}, {400000, 100ms, 20ms}};
     for (const Row &Case : Rows)
-      for (Upload Kind : {Upload::Whole, Upload::WithLength, Upload::InChunks})
+      for (Upload Kind :
+           {Upload::InMemory, Upload::WithLength, Upload::InChunks})
         for (bool FullBudget : {false, true}) {
           CAPTURE(Case.m_Bytes);
           CAPTURE(Case.m_PauseBefore.count());
@@ -161,7 +162,7 @@
     for (const Row &Case : Rows)
       for (std::size_t Bytes : {0, 300, 3000, 90000, 400000})
         for (Upload Kind :
-             {Upload::Whole, Upload::WithLength, Upload::InChunks})
+             {Upload::InMemory, Upload::WithLength, Upload::InChunks})
           for (bool FullBudget : {false, true}) {
             CAPTURE(Case.m_Name);
             CAPTURE(Bytes);
--- a/test/HttpResponseHeadTest.cpp
+++ b/test/HttpResponseHeadTest.cpp
@@ -86,9 +86,7 @@
   }
 
   TEST_CASE("a response whose trailer is not HTTP is not whole") {
-    for (const char *Field : {"X-Fi eld: 1", "X-Field\t: 1",
-                              "X-Fi\x01"
-                              "eld: 1",
+    for (const char *Field : {"X-Fi eld: 1", "X-Field\t: 1", "X-Fi\001eld: 1",
                               " X-Field: 1", ": 1", "X-Field"}) {
       CAPTURE(Field);
       Received Got = send({std::string(Sound) +
--- a/test/NodeResponseTest.cpp
+++ b/test/NodeResponseTest.cpp
@@ -29,7 +29,7 @@
 
 constexpr std::uint16_t CallerPort = 8161;
 constexpr std::uint16_t PeerPort = 7720;
-constexpr int ServerSlots = 2;
+constexpr std::size_t ServerSlots = 2;
 
 // Several test runs may share the machine.
 std::string nodeIp() {
@@ -79,7 +79,7 @@
       Info.m_PoolName = "s1";
       Info.m_Domain = "a-1";
       Info.m_Region = "a";
-      Info.m_Slots = ServerSlots;
+      Info.m_Slots = static_cast<int>(ServerSlots);
       m_Node.serverList().put(Info, {1, 1}, now());
     }
     m_Node.confirmListComplete({1, 1}, now());
@@ -128,8 +128,7 @@
     {"no length", head() + "\r\n", ConnectionEnd::Reset},
     {"status 000", head("000") + "\r\n"},
     {"blank in a name", head() + "X-Fi eld: 1\r\n\r\n"},
-    {"control byte in a name", head() + "X-Fi\x01"
-                                        "eld: 1\r\n\r\n"},
+    {"control byte in a name", head() + "X-Fi\001eld: 1\r\n\r\n"},
     {"blank before the colon", head() + "X-Field : 1\r\n\r\n"},
     {"folded line", head() + " t\r\n\r\n"},
 };
@@ -215,8 +214,7 @@
   TEST_CASE("a broken response of the store counts as none") {
     for (const char *Lines :
          {"Store-Era: 7\r\n 8\r\n", "Store-Era : 7\r\n", "Store-E ra: 7\r\n",
-          "Store-Era: 7\r\nX-Fi\x01"
-          "eld: 1\r\n"}) {
+          "Store-Era: 7\r\nX-Fi\001eld: 1\r\n"}) {
       CAPTURE(Lines);
       asio::io_context Io{1};
       Metrics Counters;
--- a/test/RawExchange.h
+++ b/test/RawExchange.h
@@ -121,7 +121,12 @@
 inline constexpr Duration RequestTimeout = 3s;
 
 // How the client sends its body.
-enum class Upload : std::uint8_t { None, Whole, WithLength, InChunks };
+enum class Upload : std::uint8_t {
+  None,
+  InMemory,   // Whole in HttpRequest::m_Body.
+  WithLength, // Streamed, the length is known.
+  InChunks,   // Streamed in chunks.
+};
 
 // What ends an exchange from the client's side, beside the server.
 struct ClientEnd {
@@ -148,7 +153,7 @@
   Request.m_Method = "POST";
   std::string Last(FragmentBytes, 'u');
   Last.replace(FragmentBytes - UploadEnd.size(), UploadEnd.size(), UploadEnd);
-  if (Kind == Upload::Whole) {
+  if (Kind == Upload::InMemory) {
     Request.m_Body = std::string(UploadBytes - FragmentBytes, 'u') + Last;
     return Request;
   }
