--- a/net/Http.h
+++ b/net/Http.h
@@ -336,7 +336,8 @@
   Duration m_TcpUserTimeout{0};
   // Accepts responses with neither Content-Length nor chunked coding, which end
   // when the connection closes. If false they count as incomplete, since a lost
-  // connection looks the same as the end of the body.
+  // connection looks the same as the end of the body. If true they do so only
+  // if the connection fails while the request is still being written.
   bool m_AcceptCloseDelimited = false;
 };
 
