Servers: forget the start time of a request that has ended

What callers saw: nothing at first. A node grew by some 52 bytes a request, and whether a server that owed responses counted as stalled was decided by what lay behind an empty set; with the sanitizers the node ended there.

Cause: Dispatcher::started() and Node::runAttempt() read the clock one after the other, and Fleet::finished() looks for the start time by its value. On the real clock it was not found, so it stayed in BackendState::m_StartTimes for ever, and isStalled() then went on with no expected time.

Change: the decision carries the time at which started() was called, and finished() gets it, also for a request that is given back unsent.

Why it works: there is one reading. What started() stores is what finished() removes, whatever the clock does between them.

Evidence: unit.node_responses, "ended requests leave nothing at their server".

--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -51,6 +51,7 @@
   Duration m_LoadAge{0}; // Age of the server's last load report.
   ErrorKind m_Error = ErrorKind::None;
   Duration m_RetryAfter{0};
+  Time m_StartedAt{0}; // Set by Dispatcher::started(), for finished().
   // Set only for refused requests: the preferred server, its load and the
   // predicted wait.
   ServerIndex m_BestServer = NoServer;
@@ -160,7 +161,7 @@
   // Removes a queued request whose caller has disconnected.
   bool cancel(RequestId Id);
   // Records that a request was sent as decided.
-  void started(const DispatchDecision &Decision, Time Now);
+  void started(DispatchDecision &Decision, Time Now);
   // Records the result of an attempt.
   void finished(const DispatchRequest &Request,
                 const DispatchDecision &Decision, const AttemptReport &Report,
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -771,7 +771,8 @@
          }) > 0;
 }
 
-void Dispatcher::started(const DispatchDecision &Decision, Time Now) {
+void Dispatcher::started(DispatchDecision &Decision, Time Now) {
+  Decision.m_StartedAt = Now;
   m_PoolSnapshots.clear();
   m_Fleet.started(Decision.m_Server, Decision.m_ExpectedTime, Now);
   if (!Decision.m_Warm)
--- a/test/NodeResponseTest.cpp
+++ b/test/NodeResponseTest.cpp
@@ -102,6 +102,22 @@
     }
   }
 
+  // Guards against start times that stay with a server for ever, by which it
+  // looks stalled and memory grows (review.memory).
+  TEST_CASE("ended requests leave nothing at their server") {
+    for (std::size_t AtOnce : {std::size_t{1}, ServerSlots, 8 * ServerSlots}) {
+      CAPTURE(AtOnce);
+      NodeFixture Fixture({{head() + "Content-Length: 5\r\n\r\nsound",
+                            ConnectionEnd::Close, false, 1ms}});
+      // What does not fit into the queue is refused.
+      CHECK(isWholeSuccess(Fixture.call({}, "/read/1", AtOnce)[0]));
+      const BackendState &Row = Fixture.m_Node.fleet().row(0);
+      CHECK(Row.m_OwnRequests == 0);
+      CHECK(Row.m_StartTimes.empty());
+      CHECK(Row.m_ExpectedTimes.empty());
+    }
+  }
+
   // An answer of the store that is not HTTP must not change its era.
   TEST_CASE("a broken response of the store counts as none") {
     for (const char *Lines :
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -212,6 +212,7 @@
   // The list of backend servers. The control plane writes to it, then calls
   // listComplete() and listRead().
   ListingTable &serverList() { return m_List; }
+  const Fleet &fleet() const { return m_Dispatcher.fleet(); }
   // Records that the list was complete up to a position of the control plane.
   void confirmListComplete(StorePosition Position, Time KnownAt);
   // Applies the list and announces it to the VMs of the region.
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -274,8 +274,8 @@
 void Node::releaseServer(const Exchange &Work) {
   AttemptReport NotSent;
   NotSent.m_Outcome = AttemptOutcome::Abandoned;
-  m_Dispatcher.finished(Work.m_Dispatch, Work.m_Decision, NotSent, now(),
-                        now());
+  m_Dispatcher.finished(Work.m_Dispatch, Work.m_Decision, NotSent,
+                        Work.m_Decision.m_StartedAt, now());
   processQueue();
 }
 
@@ -459,7 +459,7 @@
   if (m_Dispatcher.fleet().row(Index).m_Incarnation != Incarnation)
     Attempt.m_Report.m_Outcome = AttemptOutcome::Abandoned;
   m_Dispatcher.finished(Work->m_Dispatch, Work->m_Decision, Attempt.m_Report,
-                        StartedAt, now());
+                        Work->m_Decision.m_StartedAt, now());
   recordServerHints(Server, Attempt.m_Report);
   if (Attempt.m_Report.m_Outcome == AttemptOutcome::Misdirected)
     cancelAttemptsAt(Index, false);
