Clients: keep the budget's owner count right while a body is streamed

What callers saw: with the contract "pressure", a response of over 64 KB, or one without an end, ended the VM's process; what was in progress there was lost. Or all that followed got 503 buffers_full.

Each fragment took one reference from the shared BufferBudget, until it was freed while in use.

Change: connectionBudget() returns the argument, as HttpServer has it.

Why it works: the result of a function call is not among the temporaries that are destroyed twice (counted with programs of our own, -O0 and -O2), so the count that the argument adds is the one that it takes back.

--- a/net/Http.h
+++ b/net/Http.h
@@ -379,6 +379,8 @@
   asio::awaitable<void> writeRestOfRequest(std::shared_ptr<Exchange> State,
                                            std::optional<BodyReader> Reader);
   asio::awaitable<bool> readResponseHead(std::shared_ptr<Exchange> State);
+  // Returns the budget if connections are counted, otherwise null.
+  BufferBudgetPtr connectionBudget() const;
   // Returns the bytes of the budget that buffered bodies leave to other uses.
   std::size_t bytesKeptFree() const;
   void returnToPool(Exchange &State);
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -190,10 +190,13 @@
 
 HttpClient::~HttpClient() = default;
 
+BufferBudgetPtr HttpClient::connectionBudget() const {
+  return m_Limits.m_CountsConnections ? m_Limits.m_Budget : nullptr;
+}
+
 std::size_t HttpClient::bytesKeptFree() const {
-  return m_Limits.m_Budget && m_Limits.m_CountsConnections
-             ? m_Limits.m_Budget->limitBytes() / BudgetKeepDivisor
-             : 0;
+  BufferBudgetPtr Budget = connectionBudget();
+  return Budget ? Budget->limitBytes() / BudgetKeepDivisor : 0;
 }
 
 HttpClient::ConnectionPtr
@@ -248,8 +251,7 @@
     co_await Timer.async_wait(Await);
     co_return nullptr;
   }
-  auto Created = std::make_shared<Connection>(
-      m_Io, m_Limits.m_CountsConnections ? m_Limits.m_Budget : nullptr);
+  auto Created = std::make_shared<Connection>(m_Io, connectionBudget());
   boost::system::error_code Error;
   tcp::socket &Socket = Created->m_Stream.socket();
   Socket.open(tcp::v4(), Error);
@@ -544,8 +546,7 @@
     BodyFragment Fragment;
     auto Error = co_await readCountedFragment(
         Held->m_Stream, Held->m_Buffer, *State->m_Parser, Fragment,
-        m_Limits.m_CountsConnections ? m_Limits.m_Budget : nullptr,
-        bytesKeptFree());
+        connectionBudget(), bytesKeptFree());
     Fragment.m_Aborted =
         Error || State->mayBeTruncated(Held->m_Stream.socket());
     Fragment.m_Last = !Fragment.m_Aborted && State->m_Parser->is_done();
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -1,12 +1,6 @@
 // What callers' connections hold beside bodies counts against the budget of the
 // process; connections and requests that do not fit are refused.
-#include "net/Clock.h"
-#include "net/Daemon.h"
-#include "net/HttpBody.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/write.hpp>
+#include "test/RawExchange.h"
 
 #include <doctest/doctest.h>
 
@@ -300,4 +294,49 @@
         CHECK(Fixture.m_Callers.connections() == 0);
       }
   }
+
+  // Guards against a budget that is released once too often for each fragment
+  // of a streamed response, and freed while it is in use (review/6).
+  TEST_CASE("a streamed response leaves the budget as it was") {
+    // Other owners keep the budget alive where the client releases too much.
+    const std::vector<BufferBudgetPtr> Others(
+        100'000, std::make_shared<BufferBudget>(BudgetBytes));
+    const BufferBudgetPtr &Budget = Others.front();
+    struct Row {
+      const char *m_Name;
+      const char *m_Head;
+      std::size_t m_Bytes;
+      test::ConnectionEnd m_End;
+      std::size_t m_LeaveAfterBytes;
+      bool m_IsWhole;
+    };
+    const char *WithLength = "Content-Length: 150000\r\n";
+    const Row Rows[] = {
+        {"whole", WithLength, 150'000, test::ConnectionEnd::Close, 0, true},
+        {"without a length", "", 150'000, test::ConnectionEnd::Close, 0, true},
+        {"cut short", WithLength, 100'000, test::ConnectionEnd::Close, 0,
+         false},
+        {"reset", WithLength, 100'000, test::ConnectionEnd::Reset, 0, false},
+        {"its client leaves", WithLength, 150'000, test::ConnectionEnd::Close,
+         70'000, false},
+    };
+    for (const Row &Case : Rows)
+      for (test::Upload Kind : {test::Upload::None, test::Upload::InChunks}) {
+        CAPTURE(std::string(Case.m_Name));
+        CAPTURE(static_cast<int>(Kind));
+        test::RawAnswer Answer{"HTTP/1.1 200 OK\r\n" +
+                                   std::string(Case.m_Head) + "\r\n" +
+                                   std::string(Case.m_Bytes, 'a'),
+                               Case.m_End};
+        Answer.m_ReadsUpload = Kind != test::Upload::None;
+        test::ClientEnd End;
+        End.m_LeaveAfterBytes = Case.m_LeaveAfterBytes;
+        End.m_CountingBudget = Budget;
+        const long Owners = Budget.use_count();
+        test::Received Got = test::send(Answer, Kind, End);
+        CHECK(Got.m_IsWhole == Case.m_IsWhole);
+        CHECK(Budget.use_count() == Owners);
+        CHECK(Budget->usedBytes() == 0);
+      }
+  }
 }
