--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the missing Debian packages that the build, tests and linters need.
 set -euo pipefail
-packages="g++ cmake ninja-build ccache clang-format clang-tidy curl git
+packages="g++ cmake ninja-build ccache clang-format clang-tidy clang-tools curl git
   libboost1.81-dev libboost-log1.81-dev libjsonrpccpp-dev libjsoncpp-dev
   libssl-dev prometheus-cpp-dev libdocopt-dev doctest-dev libbenchmark-dev
   libxxhash-dev"
