Clients: end a response at its deadline though its bytes never cease

What callers saw: a response without an end went on after the caller's deadline, to the limit of 256 MB for a body, and its connection to the server with it.

Cause: the deadline was only the time-out of the stream, which ends a read that waits. A read whose bytes are there completes first and cancels the time-out.

Change: HttpClient compares the clock with the deadline after each read of a body that has not ended: streamed, in memory, and of a response that is skipped.

Why it works: each read returns at most one fragment, so the check comes at least once a fragment however fast the server sends; reads that wait end as before.

Evidence: unit.node_long_responses, "a response without an end is ended at its request's deadline".

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -168,10 +168,18 @@
   bool m_IsHead = false;
   bool m_RequestWritten = false; // The whole request has been written.
   bool m_WriteFailed = false;    // A part of it could not be written.
+  Time m_Deadline{0};
   ConnectionPtr m_Connection;
   std::optional<ResponseParser> m_Parser;
   HttpResult m_Result;
 
+  // Returns an error once the deadline has passed. The time-out of the stream
+  // only ends a read that waits, which no read does while bytes never cease.
+  boost::system::error_code checkDeadline() const {
+    if (now() < m_Deadline)
+      return {};
+    return beast::error::timeout;
+  }
   // Returns whether the body has ended with its connection, and that end may
   // be a failure. The kernel reports a failure once, to whichever operation
   // comes first; a read after that sees an end of the stream like any other.
@@ -325,6 +333,7 @@
   State->m_Request = std::move(Request);
   State->m_Options = std::move(Options);
   State->m_IsHead = State->m_Request.m_Method == "HEAD";
+  State->m_Deadline = Deadline;
   std::shared_ptr<Cancellation> Cancel = State->m_Options.m_Cancellation;
   std::string Head = serializeRequestHead(State->m_Request, State->m_Address,
                                           State->m_Chunked);
@@ -422,6 +431,8 @@
     auto Error = co_await readBodyFragment(
         Stream, State->m_Connection->m_Buffer, Parser, Body);
     Buffered->set(Body.capacity());
+    if (!Error && !Parser.is_done())
+      Error = State->checkDeadline();
     if (Error) {
       Result.m_Failure = toFailure(Error);
       co_return;
@@ -504,6 +515,8 @@
     while (!Parser.is_done() && !Error) {
       Skipped.clear();
       Error = co_await readBodyFragment(Stream, Buffer, Parser, Skipped);
+      if (!Error)
+        Error = State->checkDeadline();
     }
     if (Error || Parser.need_eof() ||
         ++Result.m_SkippedResponses > MaxSkippedResponses) {
@@ -547,6 +560,8 @@
     auto Error = co_await readCountedFragment(
         Held->m_Stream, Held->m_Buffer, *State->m_Parser, Fragment,
         connectionBudget(), bytesKeptFree());
+    if (!Error && !State->m_Parser->is_done())
+      Error = State->checkDeadline();
     Fragment.m_Aborted =
         Error || State->mayBeTruncated(Held->m_Stream.socket());
     Fragment.m_Last = !Fragment.m_Aborted && State->m_Parser->is_done();
--- a/test/NodeLongResponseTest.cpp
+++ b/test/NodeLongResponseTest.cpp
@@ -124,4 +124,27 @@
         CHECK(Fixture.metric(BufferedBytesGauge) == Idle);
       }
   }
+
+  // Guards against connections, slots and memory that a response without an end
+  // holds for ever.
+  TEST_CASE("a response without an end is ended at its request's deadline") {
+    for (Framing Kind : {Framing::Chunked, Framing::None})
+      for (int PipelinedRequests : {1, 8}) {
+        CAPTURE(static_cast<int>(Kind));
+        CAPTURE(PipelinedRequests);
+        RawAnswer Answer = endless(Kind);
+        Answer.m_RepeatPause = 1ms;
+        NodeFixture Fixture({Answer}, PipelinedRequests);
+        Fixture.m_Deadline = "400";
+        double Idle = Fixture.metric(BufferedBytesGauge);
+        Received Got = Fixture.call({}, "/read/1")[0];
+        CHECK(Got.m_Status == 200);
+        CHECK_FALSE(Got.m_IsWhole);
+        CHECK(Got.m_Took >= 300ms);
+        CHECK(Got.m_Took < 1s);
+        Fixture.closeCallers();
+        Fixture.runFor(NoticesClose);
+        CHECK(Fixture.metric(BufferedBytesGauge) == Idle);
+      }
+  }
 }
