Servers: answer during a planned stop all that has arrived

What callers saw: a caller sent several requests of a connection at once, the VM was stopped as planned, and the connection ended with neither an answer nor a refusal for some: all beyond the eighth, all behind one with a body, without the contract "pressure" all behind the first. The same for a request that arrived as the stop ended the read of its idle connection.

Cause: the stop ended the reading of a connection with its next response, and the last request that had been read got Connection: close. What lay in the buffer or in the socket was not looked at, and a cancelled read counted as the end of the connection even where bytes had come with it.

Change: during a planned stop a connection is read on while bytes have arrived, for up to 2 s after the port has closed; the response behind which nothing has arrived closes it, and lingers, so that later bytes don't reset it. A cancelled read is followed by a look into the socket. The node ends only when nothing that has arrived is unread. The same in both ways to serve a connection.

Why it works: whether a response is the last is decided by the socket and the buffer at that moment, once the read has ended, not by what was parsed before. What does not fit into the grace the node refuses as before (leaving, not run).

--- a/net/Http.h
+++ b/net/Http.h
@@ -217,13 +217,17 @@
   Result<std::uint16_t> start(const std::string &Ip, std::uint16_t Port);
   // Sets the limits for requests that are read from now on.
   void setLimits(const HttpServerLimits &Limits) { m_Limits = Limits; }
-  // Closes each connection after its next response.
+  // Closes each connection after its next response behind which no request has
+  // arrived.
   void disableKeepAlive() { m_KeepAliveDisabled = true; }
-  // Stops accepting and closes idle connections. Requests in progress complete,
-  // with Connection: close in their responses.
+  // Stops accepting and closes idle connections. Requests in progress and those
+  // that have arrived complete; the last response of a connection says
+  // Connection: close.
   void stopAccepting();
   // Returns the number of requests in progress.
   int activeRequests() const { return m_ActiveRequests; }
+  // Whether requests are in progress, or have arrived and are still to be read.
+  bool hasRequests() const;
   int connections() const { return static_cast<int>(m_Connections.size()); }
   // Sets the hook called for each request that is refused before the handler
   // runs.
@@ -260,6 +264,11 @@
   asio::awaitable<void> waitForBodyReader(ConnectionPtr Client,
                                           BodyStreamPtr Body);
   asio::awaitable<void> lingeringClose(ConnectionPtr Client);
+  bool isStopping() const { return m_Stopping || m_KeepAliveDisabled; }
+  // Whether to read another request of a connection. During a planned stop only
+  // what has arrived is read, and not for ever: a client that always sends
+  // ahead would keep the process from ending.
+  bool mayReadOn(Connection &Client) const;
   // Returns the budget if connections are counted, otherwise null.
   BufferBudgetPtr connectionBudget() const;
   // Returns the bytes of the budget that callers leave to other uses: a part of
@@ -281,6 +290,7 @@
   int m_ClosingRefused = 0; // Refused connections that are not closed yet.
   bool m_KeepAliveDisabled = false;
   bool m_Stopping = false;
+  Time m_StoppingSince{0};
 };
 
 // Why a request produced no complete response.
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -1,3 +1,4 @@
+#include "net/Clock.h"
 #include "net/HttpBody.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,6 +25,9 @@
 // client has read the response.
 constexpr std::size_t MaxLingerBytes = 1U << 20U;
 constexpr Duration LingerTimeout = 1s;
+// For this long after stopAccepting() requests that have arrived are still
+// read.
+constexpr Duration ReadOnDuration = 2s;
 // While a connection is not read, an end of it is looked for this often.
 constexpr Duration CloseCheckInterval = 200ms;
 // Parts of the budget that callers leave free, as divisors of its limit, where
@@ -179,6 +183,11 @@
         m_Fixed(Budget) {
     m_Fixed.set(ConnectionBytes);
   }
+  // Whether bytes behind the requests read so far have arrived.
+  bool hasUnreadBytes() {
+    boost::system::error_code Error;
+    return m_Buffer.size() > 0 || m_Stream.socket().available(Error) > 0;
+  }
   // Releases a read buffer that a long request has made large.
   void shrinkBuffer() {
     if (m_Buffer.size() == 0 && m_Buffer.capacity() > ReadAheadBytes)
@@ -238,6 +247,9 @@
   asio::awaitable<bool> readOneRequest();
   asio::awaitable<void> handleEntry(EntryPtr Item);
   asio::awaitable<bool> writeResponse(EntryPtr Item);
+  // Whether the connection ends with the response to the first request, as a
+  // planned stop has begun and nothing more has arrived.
+  asio::awaitable<bool> endsPlanned();
   asio::awaitable<void> waitForChange();
   // Waits like waitForChange() while the connection is not read, and looks for
   // its end meanwhile, which no read would see.
@@ -259,6 +271,7 @@
   ConnectionPtr m_Client;
   std::deque<EntryPtr> m_Entries; // In the order of their requests.
   bool m_StopReading = false;
+  bool m_ReadsArrived = false; // It reads on only what has arrived.
   bool m_IsReading = true;     // readRequests() is running.
   bool m_ReadsSocket = false;  // It waits for bytes of the client.
   bool m_ReadsRequest = false; // It has a part of a request.
@@ -351,8 +364,9 @@
     co_await waitForChange();
 }
 
-// A planned stop closes the connection after the last request in progress, as
-// servers may be running the ones behind the first.
+// A planned stop closes the connection after the last request that has arrived:
+// servers may be running those behind the first, and a client cannot know which
+// of its requests have run.
 asio::awaitable<bool> HttpServer::Pipeline::writeResponse(EntryPtr Item) {
   if (!m_Server.m_Reachability.allows(m_Client->m_PeerIp))
     co_return false;
@@ -360,21 +374,35 @@
   bool HasWholeBody = !Item->m_Received->m_Error && Parser.is_done();
   bool Closes = !HasWholeBody || !Parser.keep_alive() ||
                 Item->m_Response.m_CloseConnection;
-  bool Stopping = m_Server.m_Stopping || m_Server.m_KeepAliveDisabled;
-  if (Stopping || Closes)
+  if (Closes)
     stopReading();
-  while ((Stopping || Closes) && m_IsReading)
+  while (Closes && m_IsReading)
     co_await waitForChange();
+  bool EndsPlanned = false;
+  if (!Closes && m_Server.isStopping())
+    EndsPlanned = co_await endsPlanned();
   bool IsLast = m_Entries.size() == 1;
-  bool KeepAlive = !Closes && !((Stopping || m_StopReading) && IsLast);
-  // The client may still be sending the body, which requires a lingering close.
-  if (!HasWholeBody)
+  bool KeepAlive = !Closes && !EndsPlanned && !(m_StopReading && IsLast);
+  // The client may still be sending, which requires a lingering close.
+  if (!HasWholeBody || EndsPlanned)
     Item->m_Response.m_CloseConnection = true;
   bool IsHead = Parser.get().method() == http::verb::head;
   co_return co_await m_Server.respond(m_Client, std::move(Item->m_Response),
                                       KeepAlive, IsHead, Item->m_RequestBody);
 }
 
+asio::awaitable<bool> HttpServer::Pipeline::endsPlanned() {
+  m_ReadsArrived = true;
+  if (m_ReadsSocket && !m_ReadsRequest)
+    m_Client->m_Stream.cancel();
+  // The read may have completed before it was cancelled.
+  while (m_ReadsSocket && !m_ReadsRequest)
+    co_await waitForChange();
+  bool HasMore =
+      m_IsReading && (m_ReadsRequest || m_Server.mayReadOn(*m_Client));
+  co_return m_Entries.size() == 1 && !HasMore;
+}
+
 void HttpServer::Pipeline::stopReading() {
   m_StopReading = true;
   if (m_ReadsSocket)
@@ -406,8 +434,12 @@
 
 asio::awaitable<void> HttpServer::Pipeline::readRequests() {
   bool GoesOn = true;
-  while (GoesOn && !m_StopReading && !m_Server.m_Stopping)
+  while (GoesOn && !m_StopReading) {
+    if ((m_Server.m_Stopping || m_ReadsArrived) &&
+        !m_Server.mayReadOn(*m_Client))
+      break;
     GoesOn = co_await readOneRequest();
+  }
   m_IsReading = false;
   notify();
 }
@@ -426,10 +458,13 @@
     auto [Error, Bytes] = co_await Stream.async_read_some(
         m_Client->m_Buffer.prepare(ReadAheadBytes), Await);
     m_ReadsSocket = false;
-    if (Error && !m_StopReading)
+    notify();
+    bool EndsIdle = Error == asio::error::operation_aborted && !m_StopReading &&
+                    (m_Server.m_Stopping || m_ReadsArrived);
+    if (Error && !m_StopReading && !EndsIdle)
       endClient();
     if (Error)
-      co_return false;
+      co_return EndsIdle; // Bytes may have arrived with the end.
     m_Client->m_Buffer.commit(Bytes);
   }
   if (m_StopReading)
@@ -545,6 +580,7 @@
 
 void HttpServer::stopAccepting() {
   m_Stopping = true;
+  m_StoppingSince = now();
   boost::system::error_code Ignored;
   m_Acceptor.close(Ignored);
   for (const auto &Client : m_Connections)
@@ -599,7 +635,8 @@
     auto Requests = std::make_shared<Pipeline>(*this, Client);
     co_await Requests->run();
   }
-  while (!m_Stopping && m_Limits.m_MaxPipelinedRequests <= 1) {
+  while (m_Limits.m_MaxPipelinedRequests <= 1 &&
+         (!m_Stopping || mayReadOn(*Client))) {
     bool KeepAlive = co_await serveRequest(Client);
     if (!KeepAlive)
       break;
@@ -726,8 +763,8 @@
     Stream.expires_after(m_Limits.m_IdleTimeout);
     auto [Error, Bytes] = co_await Stream.async_read_some(
         Client->m_Buffer.prepare(ReadAheadBytes), Await);
-    if (Error)
-      co_return false;
+    if (Error) // Bytes may have arrived as stopAccepting() cancelled the read.
+      co_return Error == asio::error::operation_aborted &&m_Stopping;
     Client->m_Buffer.commit(Bytes);
   }
   // From here on, stopAccepting() lets the request finish.
@@ -756,10 +793,11 @@
   // The partition may have begun while the request was handled.
   if (!m_Reachability.allows(Client->m_PeerIp))
     co_return false;
-  KeepAlive = KeepAlive && Parser->is_done() && !m_Stopping &&
-              !m_KeepAliveDisabled && !Response.m_CloseConnection;
-  // The client may still be sending the body, which requires a lingering close.
-  if (!Parser->is_done())
+  bool EndsPlanned = isStopping() && !mayReadOn(*Client);
+  KeepAlive = KeepAlive && Parser->is_done() && !EndsPlanned &&
+              !Response.m_CloseConnection;
+  // The client may still be sending, which requires a lingering close.
+  if (!Parser->is_done() || EndsPlanned)
     Response.m_CloseConnection = true;
   co_return co_await respond(Client, std::move(Response), KeepAlive, IsHead,
                              std::move(RequestBody));
@@ -880,6 +918,22 @@
   }
 }
 
+bool HttpServer::hasRequests() const {
+  return m_ActiveRequests > 0 ||
+         std::any_of(m_Connections.begin(), m_Connections.end(),
+                     [this](const ConnectionPtr &Client) {
+                       return Client->hasUnreadBytes() && mayReadOn(*Client);
+                     });
+}
+
+bool HttpServer::mayReadOn(Connection &Client) const {
+  if (!isStopping())
+    return true;
+  if (m_Stopping && now() >= m_StoppingSince + ReadOnDuration)
+    return false;
+  return Client.hasUnreadBytes();
+}
+
 BufferBudgetPtr HttpServer::connectionBudget() const {
   return m_Limits.m_CountsConnections ? m_Limits.m_Budget : nullptr;
 }
--- a/test/HttpPipelineTest.cpp
+++ b/test/HttpPipelineTest.cpp
@@ -229,6 +229,107 @@
     CHECK(Got.m_Took < 1s);
   }
 
+  // Guards against requests that are dropped unanswered, in the buffer or in
+  // the socket, as a planned stop answers the last one in progress.
+  TEST_CASE("a planned stop answers what has arrived, also what waits") {
+    struct Row {
+      const char *m_Name;
+      int m_Depth;
+      std::string m_First; // Sent before the others.
+      int m_Gets;
+      Duration m_StopAfter;
+      bool m_Accepts; // The server still accepts connections.
+    };
+    const Row Rows[] = {
+        {"as many as run at once", 8, "", 8, 50ms, true},
+        {"one more than run at once", 8, "", 9, 50ms, true},
+        {"four more", 8, "", 12, 50ms, false},
+        {"twice as many", 8, "", 16, 50ms, true},
+        {"twice as many, nothing accepted", 8, "", 16, 150ms, false},
+        {"behind a body", 8, Upload, 3, 20ms, true},
+        {"behind a body, nothing accepted", 8, Upload, 3, 20ms, false},
+        {"behind a request and a body", 8, get("/100/a") + Upload, 3, 50ms,
+         false},
+        {"one by one", 1, "", 5, 50ms, true},
+        {"one by one, nothing accepted", 1, "", 5, 50ms, false},
+        {"one by one behind a body", 1, Upload, 3, 20ms, false},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      PipelineFixture Fixture(Case.m_Depth);
+      std::string Text = Case.m_First;
+      for (int I = 0; I < Case.m_Gets; ++I)
+        Text += get("/100/" + std::to_string(I));
+      Exchanged Got = Fixture.run(
+          {Text}, 3s, 0ms,
+          [&] {
+            Fixture.m_Server.disableKeepAlive();
+            if (!Case.m_Accepts)
+              Fixture.m_Server.stopAccepting();
+          },
+          Case.m_StopAfter);
+      std::string Answered = bodies(Got.m_Received);
+      int Requests = Case.m_Gets + (Case.m_First.empty() ? 0 : 1) +
+                     (Case.m_First.starts_with("GET") ? 1 : 0);
+      CHECK(std::count(Answered.begin(), Answered.end(), ';') == Requests);
+      // Only the last response says that the connection ends.
+      std::size_t Closes = Got.m_Received.find("Connection: close");
+      CHECK(Closes != std::string::npos);
+      CHECK(Got.m_Received.find("HTTP/1.1 ", Closes) == std::string::npos);
+      CHECK(Fixture.m_Seen.m_Closed.empty());
+      CHECK(Got.m_Took < 2s);
+      CHECK(Fixture.m_Server.connections() == 0);
+    }
+  }
+
+  // Guards against requests that arrive in the moment in which a planned stop
+  // ends the read of an idle connection, or whose connection is not accepted
+  // yet.
+  TEST_CASE("a planned stop answers a request that arrives with it") {
+    struct Row {
+      const char *m_Name;
+      int m_Depth;
+      bool m_ConnectsBefore; // The connection is accepted before the stop.
+      std::string m_Before;  // Sent before the stop, and answered.
+    };
+    const Row Rows[] = {
+        {"an idle connection", 8, true, ""},
+        {"a connection that was used", 8, true, get("/1/a")},
+        {"an idle connection, one by one", 1, true, ""},
+        {"a used connection, one by one", 1, true, get("/1/a")},
+    };
+    for (const Row &Case : Rows)
+      for (bool ReadFirst : {false, true}) {
+        CAPTURE(std::string(Case.m_Name));
+        CAPTURE(ReadFirst);
+        PipelineFixture Fixture(Case.m_Depth);
+        tcp::socket Socket(Fixture.m_Io);
+        tcp::endpoint Server(asio::ip::make_address("127.0.0.1"),
+                             Fixture.m_Port);
+        Socket.connect(Server);
+        boost::system::error_code Error;
+        if (Case.m_ConnectsBefore) {
+          asio::write(Socket, asio::buffer(Case.m_Before), Error);
+          Fixture.wait(50ms);
+        }
+        asio::write(Socket, asio::buffer(get("/50/late")), Error);
+        Fixture.m_Io.restart();
+        if (ReadFirst)
+          Fixture.m_Io.poll_one();
+        Fixture.m_Server.disableKeepAlive();
+        Fixture.m_Server.stopAccepting();
+        Fixture.wait(200ms);
+        std::string Received(4096, '\0');
+        Socket.non_blocking(true);
+        Received.resize(Socket.read_some(asio::buffer(Received), Error));
+        CHECK(bodies(Received).ends_with("late;"));
+        CHECK(Received.find("Connection: close") != std::string::npos);
+        Socket.close();
+        Fixture.wait(50ms);
+        CHECK(Fixture.m_Server.connections() == 0);
+      }
+  }
+
   // Guards against a malformed request that hides the responses before it.
   TEST_CASE("an invalid request is refused after those before it") {
     PipelineFixture Fixture(8);
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -276,8 +276,11 @@
   auto UnderWay = [this] {
     return m_CallerServer.activeRequests() + m_DetourServer.activeRequests();
   };
-  while (now() < End && UnderWay() > 0)
+  // Requests that arrived with the stop start only after it.
+  do
     co_await sleepFor(TickInterval);
+  while (now() < End &&
+         (m_CallerServer.hasRequests() || m_DetourServer.hasRequests()));
   logEvent(Severity::Info, "drained",
            {{"under_way", std::to_string(UnderWay())}});
   m_Stopped = true;
