Servers: a planned stop accepts what waits in the listen queue

What callers saw: a connection made as a stopping VM closed its port was reset, with a request on it that had neither an answer nor a refusal.

Cause: the kernel completes connections before the process accepts them, and closing the port resets those that wait. One whose accept had just completed was dropped as well.

Change: stopAccepting() accepts the queue before it closes the port; a connection on which a request has arrived is served, any other closed.

Why it works: when the port closes the queue is empty, but for a connection that is made between the two calls.

Evidence: unit.http_pipeline, "a planned stop answers a request that arrives with it": its two rows of the listen queue, each in two runs, had no answer on the parent (8 of 8 checks failed); now they are answered.

--- a/net/Http.h
+++ b/net/Http.h
@@ -241,6 +241,8 @@
   struct ReceivedRequest;
   class Pipeline; // Serves a connection with several requests at once.
   asio::awaitable<void> acceptLoop();
+  // Serves an accepted connection, or refuses it.
+  void admit(asio::ip::tcp::socket Socket);
   asio::awaitable<void> serveConnection(ConnectionPtr Client);
   asio::awaitable<bool> serveRequest(ConnectionPtr Client);
   // Reads the start line and header of a request. Sets the error of one that
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -581,8 +581,16 @@
 void HttpServer::stopAccepting() {
   m_Stopping = true;
   m_StoppingSince = now();
-  boost::system::error_code Ignored;
-  m_Acceptor.close(Ignored);
+  // Closing the port would reset the connections in the listen queue.
+  boost::system::error_code Error;
+  m_Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    tcp::socket Socket(m_Io);
+    m_Acceptor.accept(Socket, Error);
+    if (!Error)
+      admit(std::move(Socket));
+  }
+  m_Acceptor.close(Error);
   for (const auto &Client : m_Connections)
     if (!Client->m_RequestInProgress)
       Client->m_Stream.cancel();
@@ -591,39 +599,43 @@
 asio::awaitable<void> HttpServer::acceptLoop() {
   while (!m_Stopping) {
     auto [Error, Socket] = co_await m_Acceptor.async_accept(Await);
-    if (m_Stopping)
+    if (Error && m_Stopping)
       break;
     if (Error) {
       asio::steady_timer Pause(m_Io, AcceptRetryDelay);
       co_await Pause.async_wait(Await);
       continue;
     }
-    boost::system::error_code PeerError;
-    auto Peer = Socket.remote_endpoint(PeerError);
-    if (PeerError)
-      continue;
-    Socket.set_option(tcp::no_delay(true), PeerError);
-    BufferBudgetPtr Budget = connectionBudget();
-    std::size_t Needed = ConnectionBytes + ReadAheadBytes;
-    if (Budget &&
-        Budget->leftBytes() < Needed + bytesKeptFree(BudgetKeepDivisor)) {
-      reportRefusal(ErrorKind::BuffersFull);
-      asio::co_spawn(m_Io, refuseConnection(std::move(Socket)), asio::detached);
-      while (m_ClosingRefused >= MaxClosingRefused && !m_Stopping) {
-        asio::steady_timer Pause(m_Io, AcceptRetryDelay);
-        co_await Pause.async_wait(Await);
-      }
-      continue;
+    admit(std::move(Socket));
+    while (m_ClosingRefused >= MaxClosingRefused && !m_Stopping) {
+      asio::steady_timer Pause(m_Io, AcceptRetryDelay);
+      co_await Pause.async_wait(Await);
     }
-    auto Client = std::make_shared<Connection>(
-        std::move(Socket),
-        std::max(MaxUnparsedBytes, m_Limits.m_MaxHeaderBytes + ReadAheadBytes),
-        Budget, bytesKeptFree(RequestKeepDivisor));
-    Client->m_PeerIp = Peer.address().to_string();
-    asio::co_spawn(m_Io, serveConnection(std::move(Client)), asio::detached);
   }
 }
 
+void HttpServer::admit(tcp::socket Socket) {
+  boost::system::error_code Error;
+  auto Peer = Socket.remote_endpoint(Error);
+  if (Error)
+    return;
+  Socket.set_option(tcp::no_delay(true), Error);
+  BufferBudgetPtr Budget = connectionBudget();
+  std::size_t Needed = ConnectionBytes + ReadAheadBytes;
+  if (Budget &&
+      Budget->leftBytes() < Needed + bytesKeptFree(BudgetKeepDivisor)) {
+    reportRefusal(ErrorKind::BuffersFull);
+    asio::co_spawn(m_Io, refuseConnection(std::move(Socket)), asio::detached);
+    return;
+  }
+  auto Client = std::make_shared<Connection>(
+      std::move(Socket),
+      std::max(MaxUnparsedBytes, m_Limits.m_MaxHeaderBytes + ReadAheadBytes),
+      Budget, bytesKeptFree(RequestKeepDivisor));
+  Client->m_PeerIp = Peer.address().to_string();
+  asio::co_spawn(m_Io, serveConnection(std::move(Client)), asio::detached);
+}
+
 asio::awaitable<void> HttpServer::serveConnection(ConnectionPtr Client) {
   int &ConnectionsFromIp = m_ConnectionsPerIp[Client->m_PeerIp];
   Client->m_OverLimit =
--- a/test/HttpPipelineTest.cpp
+++ b/test/HttpPipelineTest.cpp
@@ -295,8 +295,10 @@
     const Row Rows[] = {
         {"an idle connection", 8, true, ""},
         {"a connection that was used", 8, true, get("/1/a")},
+        {"a connection in the listen queue", 8, false, ""},
         {"an idle connection, one by one", 1, true, ""},
         {"a used connection, one by one", 1, true, get("/1/a")},
+        {"in the listen queue, one by one", 1, false, ""},
     };
     for (const Row &Case : Rows)
       for (bool ReadFirst : {false, true}) {
