Servers: read on while a planned stop still has responses to send

What callers saw: during a planned stop a request that was sent behind others of its connection, while those were in progress, was dropped unanswered.

Change: the reading ends with the last response only, in both phases of a stop.

Why it works: a request can be answered as long as a response is outstanding, as that one has not yet said Connection: close.

Evidence: unit.http_pipeline, "a planned stop answers requests that come amid others", failed on the parent in both rows ("a;b;" of "a;b;c;"); now it passes.

--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -392,6 +392,8 @@
 }
 
 asio::awaitable<bool> HttpServer::Pipeline::endsPlanned() {
+  if (m_Entries.size() > 1)
+    co_return false; // More may come until the last response is ready.
   m_ReadsArrived = true;
   if (m_ReadsSocket && !m_ReadsRequest)
     m_Client->m_Stream.cancel();
@@ -435,8 +437,9 @@
 asio::awaitable<void> HttpServer::Pipeline::readRequests() {
   bool GoesOn = true;
   while (GoesOn && !m_StopReading) {
-    if ((m_Server.m_Stopping || m_ReadsArrived) &&
-        !m_Server.mayReadOn(*m_Client))
+    bool ReadsArrived =
+        m_ReadsArrived || (m_Server.m_Stopping && m_Entries.empty());
+    if (ReadsArrived && !m_Server.mayReadOn(*m_Client))
       break;
     GoesOn = co_await readOneRequest();
   }
--- a/test/HttpPipelineTest.cpp
+++ b/test/HttpPipelineTest.cpp
@@ -282,6 +282,26 @@
     }
   }
 
+  // Guards against a connection that is not read while it can still be
+  // answered.
+  TEST_CASE("a planned stop answers requests that come amid others") {
+    for (bool Accepts : {true, false}) {
+      CAPTURE(Accepts);
+      PipelineFixture Fixture(8);
+      Exchanged Got = Fixture.run(
+          {get("/100/a") + get("/400/b"), get("/10/c")}, 3s, 200ms,
+          [&] {
+            Fixture.m_Server.disableKeepAlive();
+            if (!Accepts)
+              Fixture.m_Server.stopAccepting();
+          },
+          50ms);
+      CHECK(bodies(Got.m_Received) == "a;b;c;");
+      CHECK(Got.m_Received.find("Connection: close") != std::string::npos);
+      CHECK(Got.m_Took < 2s);
+    }
+  }
+
   // Guards against requests that arrive in the moment in which a planned stop
   // ends the read of an idle connection, or whose connection is not accepted
   // yet.
