Logs: allowed regions, the server's region, how late a configuration is

Cause: a line of a served request named the version that it was decided by but neither the regions that were allowed nor that of the server, and nothing told for how long a VM lacks a configuration that its peers have.

Change: regions= and server_region= in the lines of requests, bytes= and announced_ms_ago= in config_in_force, gauge rhubarb_config_behind_seconds. No decision is changed.

--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -323,7 +323,9 @@
   logEvent(Severity::Info, "config_in_force",
            {{"revision", std::to_string(Next.m_Revision)},
             {"before", std::to_string(revision())},
-            {"routes", std::to_string(Next.m_Routes.size())}});
+            {"routes", std::to_string(Next.m_Routes.size())},
+            {"bytes", std::to_string(Document.m_Text.size())},
+            {"announced_ms_ago", std::to_string(configBehind() / 1ms)}});
   m_Organisations.apply(std::move(Next.m_Organisations));
   m_Routes.apply(std::move(Next));
   m_ConfigDocument = std::move(Document);
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -148,6 +148,7 @@
   bool m_MayHaveRun = false;
   bool m_Offered = false;
   std::string m_LastServer;
+  std::string m_LastServerRegion;
   // Load stated in the last response.
   std::optional<ReportedLoad> m_ReportedLoad;
   std::uint64_t m_ConfigRevision = 0;
@@ -433,6 +434,9 @@
   void applyList();
   std::size_t regionSize() const;
   std::size_t ownReaderRank() const;
+  // Returns for how long a peer has announced a newer configuration than the
+  // one in force; 0: none is announced.
+  Duration configBehind() const;
   bool fetchesConfigFromPeer(std::uint64_t ConfigBytes) const;
   // Returns the region of a VM, or an empty string if it is unknown.
   std::string_view regionOf(const MemberRow &Row) const;
@@ -497,6 +501,9 @@
   Time m_OperatorKnownAt{0};
   // The latest update from a peer, without its server rows.
   ServerListUpdate m_AnnouncedOperatorUpdate;
+  // Newest configuration that a peer has announced, and since when.
+  std::uint64_t m_AnnouncedConfigRevision = 0;
+  Time m_ConfigAnnouncedAt{0};
   // When a peer first announced the operators' last change to this VM.
   Time m_OperatorAnnouncedAt{0};
   StoreReadPolicy m_ListReadPolicy;
--- a/tools/rhubarb-node/NodeLookup.cpp
+++ b/tools/rhubarb-node/NodeLookup.cpp
@@ -43,6 +43,7 @@
     return static_cast<double>(Value.count()) / MicrosPerSecond;
   };
   m_Metrics.set("rhubarb_config_revision", {}, static_cast<double>(revision()));
+  m_Metrics.set("rhubarb_config_behind_seconds", {}, Seconds(configBehind()));
   m_Metrics.set("rhubarb_list_revision", {},
                 static_cast<double>(m_List.position().m_Revision));
   m_Metrics.set("rhubarb_crash_suspects", {},
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -633,6 +633,10 @@
   if (m_Evacuated.observeTold(Update.m_EvacuatedDomains,
                               Update.m_OperatorPosition, now()))
     applyEvacuated(Update.m_EvacuatedDomains, Update.m_OperatorPosition);
+  if (Update.m_ConfigRevision > m_AnnouncedConfigRevision) {
+    m_AnnouncedConfigRevision = Update.m_ConfigRevision;
+    m_ConfigAnnouncedAt = now();
+  }
   if (Update.m_OperatorPosition >=
       m_AnnouncedOperatorUpdate.m_OperatorPosition) {
     if (Update.m_OperatorPosition >
@@ -647,6 +651,11 @@
         std::max(m_OperatorKnownAt, now() - Update.m_OperatorAge);
 }
 
+Duration Node::configBehind() const {
+  return m_AnnouncedConfigRevision > revision() ? now() - m_ConfigAnnouncedAt
+                                                : Duration{0};
+}
+
 // Fetches the whole server list from a peer.
 asio::awaitable<void> Node::fetchList(std::string Ip) {
   m_FetchingList = true;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -95,6 +95,16 @@
   return std::to_string(Value / std::chrono::milliseconds(1));
 }
 
+// Formats the regions that a request may run in.
+std::string regionsText(const std::vector<std::string> &Allowed) {
+  if (Allowed.empty())
+    return "any";
+  std::string Text;
+  for (const std::string &Region : Allowed)
+    Text += (Text.empty() ? "" : ",") + Region;
+  return Text;
+}
+
 // Formats seconds with three decimals, as callers expect.
 std::string retryAfterText(Duration Value) {
   std::int64_t Millis = std::max<std::int64_t>(1, Value / 1ms);
@@ -420,6 +430,7 @@
   BackendInfo Server = m_Dispatcher.fleet().row(Index).m_Info;
   std::uint64_t Incarnation = m_Dispatcher.fleet().row(Index).m_Incarnation;
   Work->m_LastServer = Server.m_Id;
+  Work->m_LastServerRegion = Server.m_Region;
   Time StartedAt = now();
   SendOptions Options;
   Work->m_AttemptCancellation = std::make_shared<Cancellation>();
@@ -672,6 +683,8 @@
            {{"id", Work.m_TraceId},
             {"route", Work.m_Dispatch.m_RouteName},
             {"server", Work.m_LastServer},
+            {"regions", regionsText(Work.m_Dispatch.m_AllowedRegions)},
+            {"server_region", Work.m_LastServerRegion},
             {"request", std::to_string(Work.m_Fingerprint)},
             {"end", std::string(attemptOutcomeName(Report.m_Outcome))},
             {"error", std::string(errorInfo(Attempt.m_Error).m_Name)},
@@ -753,6 +766,7 @@
               {"server_load", std::to_string(static_cast<int>(
                                   std::lround(Placed.m_BestServerLoad)))},
               {"predicted_wait_ms", millisText(Placed.m_PredictedWait)},
+              {"regions", regionsText(Item.m_AllowedRegions)},
               {"retry_after_ms", millisText(Placed.m_RetryAfter)},
               {"tries", std::to_string(Work.m_TotalAttempts)},
               {"config", std::to_string(Work.m_ConfigRevision)},
@@ -774,6 +788,8 @@
        {"objective_ms", millisText(Item.m_ObjectiveAt - Item.m_ArrivedAt)},
        {"waited_ms", millisText(Work.m_QueueTime)},
        {"server", Work.m_LastServer},
+       {"regions", regionsText(Item.m_AllowedRegions)},
+       {"server_region", Work.m_LastServerRegion},
        {"expected_ms", millisText(Placed.m_ExpectedTime)},
        {"tries", std::to_string(Work.m_TotalAttempts)},
        {"object", std::to_string(Item.m_ObjectHash)},
