--- a/test/NodeFixture.h
+++ b/test/NodeFixture.h
@@ -46,7 +46,7 @@
   Settings.m_Ip = nodeIp();
   Settings.m_Domain = "a-1";
   Settings.m_Region = "a";
-  Settings.m_RegionOf = {{"a-1", "a"}};
+  Settings.m_RegionOf = {{"a-1", "a"}, {"b-1", "b"}};
   Settings.m_CallerPort = CallerPort;
   Settings.m_PeerPort = PeerPort;
   Settings.m_MetricsPort = MetricsPort;
@@ -76,6 +76,7 @@
   HttpClient m_Caller{m_Io, m_Reach, "127.0.0.1", callerLimits()};
   std::deque<tcp::acceptor> m_Acceptors;
   std::string m_Deadline = "3000"; // Of each request, in milliseconds.
+  std::string m_ApiKey;            // Of each request; empty: none.
 
   explicit NodeFixture(const std::vector<RawAnswer> &Servers,
                        int PipelinedRequests = 1)
@@ -89,7 +90,9 @@
       addServer(Answer, "s1");
   }
 
-  void addServer(const RawAnswer &Answer, const char *Service) {
+  void addServer(const RawAnswer &Answer, const char *Service,
+                 const std::string &Region = "a",
+                 std::size_t Slots = ServerSlots) {
     tcp::acceptor &Acceptor = m_Acceptors.emplace_back(
         m_Io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     asio::co_spawn(m_Io, acceptRaw(Acceptor, Answer), asio::detached);
@@ -97,9 +100,9 @@
     Info.m_Id = "i-" + std::to_string(m_Acceptors.size());
     Info.m_Address = addressOf(Acceptor);
     Info.m_PoolName = Service;
-    Info.m_Domain = "a-1";
-    Info.m_Region = "a";
-    Info.m_Slots = static_cast<int>(ServerSlots);
+    Info.m_Domain = Region + "-1";
+    Info.m_Region = Region;
+    Info.m_Slots = static_cast<int>(Slots);
     m_Node.serverList().put(Info, {1, 1}, now());
     m_Node.confirmListComplete({1, 1}, now());
     m_Node.recordListRead(node::ListReadResult::Current);
@@ -114,6 +117,8 @@
     Request.m_Headers = {{"Host", "x.example"},
                          {"X-Rhubarbstack-Request-Id", "r1"},
                          {"X-Rhubarbstack-Request-Deadline", m_Deadline}};
+    if (!m_ApiKey.empty())
+      Request.m_Headers.push_back({"Authorization", "Bearer " + m_ApiKey});
     ++m_Running;
     asio::co_spawn(
         m_Io, exchange(m_Caller, callerAddress(), std::move(Request), End, Out),
--- /dev/null
+++ b/test/NodeRegionsTest.cpp
@@ -0,0 +1,225 @@
+// Configurations that come into force while a request waits in a node.
+#include "test/NodeFixture.h"
+
+#include "net/Datagrams.h"
+#include "net/QuotaMessages.h"
+
+using namespace rhubarb;
+using namespace rhubarb::test;
+
+namespace {
+
+enum class Wait : std::uint8_t { QuotaToken, Queue, Retry, Count };
+constexpr std::array<const char *, static_cast<std::size_t>(Wait::Count)>
+    WaitNames{"quota token", "queue", "retry"};
+
+// Whose allowed regions a configuration changes.
+enum class Holder : std::uint8_t { Route, Organisation, Count };
+constexpr std::array<const char *, static_cast<std::size_t>(Holder::Count)>
+    HolderNames{"route", "organisation"};
+
+// What a configuration says of the route and the organisation of a request.
+struct Version {
+  int m_Number = 1;
+  bool m_HasRoute = true;
+  bool m_HasKey = true;
+  std::string m_RouteRegions = "[]";
+  std::string m_OrganisationRegions = "[]";
+  bool m_HasQuota = false;
+};
+
+constexpr const char *ApiKey = "k1";
+constexpr const char *OtherRoute =
+    R"({"name":"other","prefix":"/other/","route_type":"safe","timeout":"3000ms",
+"priority":2,"service":"s2","max_attempts":2,"allowed_regions":[]})";
+
+std::string configText(const Version &Of, const std::string &Organisation) {
+  std::string Read =
+      R"({"name":"read","prefix":"/read/","route_type":"safe",
+"timeout":"3000ms","priority":2,"service":"s1","max_attempts":3,
+"allowed_regions":)" +
+      Of.m_RouteRegions + "},";
+  return R"({"version":"0000000)" + std::to_string(Of.m_Number) +
+         R"(","services":[{"name":"s1","health_path":"/h","max_connections":300},
+{"name":"s2","health_path":"/h","max_connections":300}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
+"header_timeout":"3000ms","idle_timeout":"15000ms"},
+"virtual_hosts":[{"hostname":"x.example","paths":[)" +
+         (Of.m_HasRoute ? Read : "") + OtherRoute +
+         R"(]}],"tenants":[{"name":")" + Organisation + R"(","api_keys":[")" +
+         (Of.m_HasKey ? ApiKey : "k2") + R"("],"allowed_regions":)" +
+         Of.m_OrganisationRegions +
+         (Of.m_HasQuota ? R"(,"rate_per_s":100,"burst":100)" : "") + "}]}";
+}
+
+void applyVersion(node::Node &Target, const Version &Of,
+                  const std::string &Organisation) {
+  std::string Text = configText(Of, Organisation);
+  auto Parsed = platform::parseConfig(Text);
+  REQUIRE(Parsed);
+  std::uint64_t Revision = Parsed.value().m_Revision;
+  Target.applyConfig(std::move(Parsed.value()), {Revision, Text});
+}
+
+// A VM that hands out the tokens of an organisation. Calls a hook before it
+// answers an ask, when a request waits for the token.
+struct QuotaVm {
+  std::string m_Ip = nodeIp().replace(0, 6, "127.78");
+  std::function<void()> m_BeforeAnswer;
+  Reachability m_Reach;
+  DatagramSocket m_Socket;
+
+  explicit QuotaVm(asio::io_context &Io)
+      : m_Socket(Io, m_Reach,
+                 [this](const std::string &Text, const std::string &PeerIp) {
+                   answer(Text, PeerIp);
+                 }) {
+    REQUIRE(m_Socket.start(m_Ip, PeerPort));
+  }
+
+  void answer(const std::string &Text, const std::string &PeerIp) {
+    auto Message = parseJson(Text);
+    if (!Message || Message.value()["method"] != QuotaAskMethod)
+      return;
+    QuotaAskMessage Ask = readQuotaAsk(Message.value()["params"]);
+    if (auto Hook = std::exchange(m_BeforeAnswer, nullptr))
+      Hook();
+    QuotaGrantMessage Grant{Ask.m_Region, Ask.m_Sequence, {}, Ask.m_Kind};
+    for (const QuotaAskRow &Row : Ask.m_Rows)
+      Grant.m_Rows.push_back({Row.m_Organisation, Row.m_Tokens, true});
+    for (const std::string &Answer : encodeQuotaGrant(Grant))
+      m_Socket.send(PeerIp, PeerPort, Answer);
+  }
+};
+
+asio::awaitable<void> runLater(Duration After, std::function<void()> Task) {
+  co_await sleepFor(After);
+  Task();
+}
+
+// A node of region "a" whose organisation gets its tokens from another VM.
+struct RegionsFixture {
+  NodeFixture m_Base{{}};
+  QuotaVm m_QuotaVm{m_Base.m_Io};
+  std::string m_Organisation;
+
+  RegionsFixture() {
+    m_Base.m_ApiKey = ApiKey;
+    m_Base.m_Node.addVms({{m_QuotaVm.m_Ip, "a-1"}});
+    for (int I = 0; m_Organisation.empty(); ++I) {
+      std::string Name = "o" + std::to_string(I);
+      if (chooseQuotaHolder(stableHash(Name), {nodeIp(), m_QuotaVm.m_Ip}) ==
+          m_QuotaVm.m_Ip)
+        m_Organisation = Name;
+    }
+  }
+
+  void apply(const Version &Of) {
+    applyVersion(m_Base.m_Node, Of, m_Organisation);
+  }
+};
+
+RawAnswer answerWith(const std::string &Body, Duration Pause = Duration{0}) {
+  return {head() + "Connection: close\r\nContent-Length: " +
+              std::to_string(Body.size()) + "\r\n\r\n" + Body,
+          ConnectionEnd::Close, false, Pause};
+}
+
+RawAnswer refuseAfter(Duration Pause) {
+  return {head("503") + "X-Rhubarbstack-Not-Executed: 1\r\n"
+                        "Connection: close\r\nContent-Length: 0\r\n\r\n",
+          ConnectionEnd::Close, false, Pause};
+}
+
+// A request waits while the configuration in force changes.
+struct Change {
+  const char *m_Name;
+  Version m_After;
+  int m_Status = 200;
+  std::string m_Body = "a";
+};
+
+constexpr Duration ChangeAfter = 60ms;
+constexpr Duration RefusalTime = 200ms; // Of the server that is tried first.
+constexpr Duration RunTime = 800ms;     // Of the request that fills the server.
+
+void checkChange(Wait Waits, Holder Changed, const Change &Case) {
+  RegionsFixture Fixture;
+  NodeFixture &Base = Fixture.m_Base;
+  auto RequestsInB = std::make_shared<std::size_t>(0);
+  RawAnswer InB = answerWith("b", Waits == Wait::Queue ? RunTime : 0ms);
+  if (Waits == Wait::Retry)
+    InB = refuseAfter(RefusalTime);
+  InB.m_Requests = RequestsInB;
+  Base.addServer(InB, "s1", "b", 1);
+  if (Waits == Wait::Retry)
+    Base.addServer(InB, "s1", "b", 1);
+  Base.addServer(answerWith("a"), "s1", "a");
+
+  Version Before{2};
+  Before.m_HasQuota = Waits == Wait::QuotaToken;
+  (Changed == Holder::Route ? Before.m_RouteRegions
+                            : Before.m_OrganisationRegions) = R"(["b"])";
+  Fixture.apply(Before);
+  Version After = Case.m_After;
+  After.m_HasQuota = Before.m_HasQuota;
+  std::size_t RequestsBefore = 0;
+  auto ApplyChange = [&] {
+    RequestsBefore = *RequestsInB;
+    Fixture.apply(After);
+  };
+  if (Waits == Wait::QuotaToken)
+    Fixture.m_QuotaVm.m_BeforeAnswer = ApplyChange;
+  else
+    asio::co_spawn(Base.m_Io, runLater(ChangeAfter, ApplyChange),
+                   asio::detached);
+  std::vector<Received> Got =
+      Base.call({}, "/read/1", Waits == Wait::Queue ? 2 : 1);
+  // The request that fills the server is the last to end.
+  std::sort(Got.begin(), Got.end(), [](const Received &A, const Received &B) {
+    return A.m_Took < B.m_Took;
+  });
+  if (Waits == Wait::Queue)
+    CHECK(Got.back().m_Body == "b");
+  CHECK(Got.front().m_Status == Case.m_Status);
+  if (Case.m_Status == 200)
+    CHECK(Got.front().m_Body == Case.m_Body);
+  CHECK(*RequestsInB == RequestsBefore);
+}
+
+std::vector<Change> changesOf(Holder Changed) {
+  Version Moved{3};
+  Version Widened{3};
+  Version Nowhere{3};
+  Version Removed{3};
+  if (Changed == Holder::Route) {
+    Moved.m_RouteRegions = R"(["a"])";
+    Nowhere.m_RouteRegions = R"(["c"])";
+    Removed.m_HasRoute = false;
+  } else {
+    Moved.m_OrganisationRegions = R"(["a"])";
+    Nowhere.m_OrganisationRegions = R"(["c"])";
+    Removed.m_HasKey = false;
+  }
+  return {{"moved", Moved},
+          {"widened", Widened},
+          {"without a server", Nowhere, 503},
+          {"removed", Removed, Changed == Holder::Route ? 404 : 401}};
+}
+
+} // namespace
+
+TEST_SUITE("node_regions") {
+  // Guards against requests that run in a region that the configuration in
+  // force does not allow, because it came into force while they waited.
+  TEST_CASE("a waiting request follows the configuration in force") {
+    for (std::size_t W = 0; W < WaitNames.size(); ++W)
+      for (std::size_t H = 0; H < HolderNames.size(); ++H)
+        for (const Change &Case : changesOf(static_cast<Holder>(H))) {
+          CAPTURE(std::string(WaitNames[W]));
+          CAPTURE(std::string(HolderNames[H]));
+          CAPTURE(std::string(Case.m_Name));
+          checkChange(static_cast<Wait>(W), static_cast<Holder>(H), Case);
+        }
+  }
+}
--- a/test/RawExchange.h
+++ b/test/RawExchange.h
@@ -37,6 +37,8 @@
   // Sent again and again after m_Text, until the client closes.
   std::string m_RepeatedText = {};
   Duration m_RepeatPause{0};
+  // Counts the requests received, if not null.
+  std::shared_ptr<std::size_t> m_Requests = nullptr;
 };
 
 // Closes a connection with a reset.
@@ -74,6 +76,8 @@
     if (!co_await readMore(*Socket, Tail))
       co_return;
   } while (Answer.m_ReadsUpload && !endsUpload(Tail));
+  if (Answer.m_Requests)
+    ++*Answer.m_Requests;
   co_await sleepFor(Answer.m_PauseBefore);
   std::size_t PartBytes = Answer.m_SendsBytewise ? 1 : Answer.m_Text.size();
   for (std::size_t At = 0; At < Answer.m_Text.size(); At += PartBytes) {
