Requests: the configuration in force decides again after each wait

What callers saw (own test): a request that waited while a newer configuration came into force ran in a region that it does not allow any more, on a route that is gone, or was refused though a server would have been allowed.

Cause: serveExchange copied the route's fields into the request once, and authorise combined them with the organisation of another version, before a second attempt only. A quota token, the queue, attempts and detours are waits in between. The class: a decision is carried across a wait and not made again by what holds after it.

Change: RequestPolicy is what one configuration says about one request. Every wait ends at the top of the loop in attemptUntilAnswered, which decides the request again if the version in force says something else: route, organisation, regions, priority, attempts, times, pool. A new version wakes the queued requests that it decides differently and the ones waiting for a token whose route, key or organisation is gone, so these are refused or sent at once and not held. A token of another organisation is given back. What may have run while it was not idempotent is not repeated. A server's answer that is there is delivered.

Why it works: no field of a route or an organisation is kept across a wait without the version that it follows from, and followsConfig compares both before each send.

--- a/test/NodeRegionsTest.cpp
+++ b/test/NodeRegionsTest.cpp
@@ -61,10 +61,13 @@
   Target.applyConfig(std::move(Parsed.value()), {Revision, Text});
 }
 
+// The address of another VM.
+std::string peerIp() { return nodeIp().replace(0, 6, "127.78"); }
+
 // A VM that hands out the tokens of an organisation. Calls a hook before it
 // answers an ask, when a request waits for the token.
 struct QuotaVm {
-  std::string m_Ip = nodeIp().replace(0, 6, "127.78");
+  std::string m_Ip = peerIp();
   std::function<void()> m_BeforeAnswer;
   Reachability m_Reach;
   DatagramSocket m_Socket;
--- a/test/OrganisationsTest.cpp
+++ b/test/OrganisationsTest.cpp
@@ -1,5 +1,5 @@
 // Organisations: which API key belongs to whom, and which regions are left.
-#include "rhubarb/Organisations.h"
+#include "rhubarb/RequestPolicy.h"
 
 #include "net/Crypto.h"
 
@@ -103,4 +103,46 @@
       CHECK(Both.m_None == Case.m_None);
     }
   }
+
+  TEST_CASE("a policy combines route, organisation and the limit passed on") {
+    using Regions = std::vector<std::string>;
+    struct Row {
+      const char *m_Name;
+      bool m_HasOrganisation;
+      std::optional<int> m_Priority;
+      Regions m_OfRoute, m_OfOrganisation, m_Limit;
+      int m_ExpectedPriority;
+      std::optional<Regions> m_Expected; // None: the request is refused.
+    };
+    const Row Rows[] = {
+        {"route alone", false, {}, {"a"}, {}, {}, 2, Regions{"a"}},
+        {"own priority", true, 0, {}, {}, {}, 0, Regions{}},
+        {"all three", true, {}, {"a", "b"}, {"b", "c"}, {"b"}, 2, Regions{"b"}},
+        {"limit alone", true, {}, {}, {}, {"c"}, 2, Regions{"c"}},
+        {"limit against route", false, {}, {"a"}, {}, {"b"}, 2, {}},
+        {"limit against organisation", true, {}, {}, {"a"}, {"b"}, 2, {}},
+        {"route against organisation", true, {}, {"a"}, {"b"}, {}, 2, {}},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      Route Matched;
+      Matched.m_Name = "read";
+      Matched.m_Priority = 2;
+      Matched.m_AllowedRegions = Case.m_OfRoute;
+      Organisation Holder = organisation("o1", {});
+      Holder.m_Priority = Case.m_Priority;
+      Holder.m_AllowedRegions = Case.m_OfOrganisation;
+      Result<RequestPolicy> Policy = makePolicy(
+          Matched, Case.m_HasOrganisation ? &Holder : nullptr, Case.m_Limit);
+      REQUIRE(Policy.has_value() == Case.m_Expected.has_value());
+      if (!Policy) {
+        CHECK(Policy.error().m_Kind == ErrorKind::NoServerLeft);
+        continue;
+      }
+      CHECK(Policy.value().m_Priority == Case.m_ExpectedPriority);
+      CHECK(Policy.value().m_AllowedRegions == *Case.m_Expected);
+      CHECK(Policy.value().m_Organisation ==
+            (Case.m_HasOrganisation ? "o1" : ""));
+    }
+  }
 }
--- a/tools/rhubarb-node/Headers.cpp
+++ b/tools/rhubarb-node/Headers.cpp
@@ -83,6 +83,22 @@
   return Kept;
 }
 
+std::string_view cookie(const HttpRequest &Request, std::string_view Name) {
+  std::string_view Rest = Request.header("Cookie");
+  while (!Rest.empty()) {
+    std::size_t End = Rest.find(';');
+    std::string_view Pair = Rest.substr(0, End);
+    Rest = End == std::string_view::npos ? std::string_view()
+                                         : Rest.substr(End + 1);
+    while (!Pair.empty() && Pair.front() == ' ')
+      Pair.remove_prefix(1);
+    if (Pair.starts_with(Name) && Pair.size() > Name.size() &&
+        Pair[Name.size()] == '=')
+      return Pair.substr(Name.size() + 1);
+  }
+  return {};
+}
+
 void removeField(std::vector<HeaderField> &Fields, std::string_view Name) {
   std::string Wanted = lower(Name);
   std::erase_if(Fields, [&](const HeaderField &Field) {
--- a/tools/rhubarb-node/Headers.h
+++ b/tools/rhubarb-node/Headers.h
@@ -25,6 +25,8 @@
 std::optional<ReportedLoad> readServerLoad(std::string_view Text);
 // Returns the text in lower case (ASCII).
 std::string lower(std::string_view Text);
+// Returns the value of a cookie, or an empty string.
+std::string_view cookie(const net::HttpRequest &Request, std::string_view Name);
 // Copies the end-to-end header fields: no hop-by-hop fields and none that a
 // Connection field names.
 std::vector<HeaderField>
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -334,8 +334,8 @@
   m_CallerServer.setLimits(Limits);
   m_DetourServer.setLimits(Limits);
   m_AppliedListChanges = 0; // Pools of servers may have changed.
-  refuseWithdrawnKeys();
   configureQuotas();
+  recheckWaiting();
   applyList();
 }
 
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -20,6 +20,7 @@
 #include "rhubarb/Quota.h"
 #include "rhubarb/Readers.h"
 #include "rhubarb/Relays.h"
+#include "rhubarb/RequestPolicy.h"
 #include "rhubarb/Retry.h"
 #include "rhubarb/Routes.h"
 #include "rhubarb/Suspects.h"
@@ -113,15 +114,18 @@
   // target, credentials and body.
   std::uint64_t m_Fingerprint = 0;
   bool m_Idempotent = false;
-  bool m_Public = false; // The route needs no API key.
-  int m_RoutePriority = 0;
-  std::vector<std::string> m_RouteRegions; // Empty: every region is allowed.
+  // By the configuration m_ConfigRevision.
+  RequestPolicy m_Policy;
+  // Regions that the VM which passed the request on allows; empty: all.
+  std::vector<std::string> m_RegionLimit;
   // Name of the organisation whose key the request bears; empty: none.
   std::string m_Organisation;
   // The VM that passed the request on has checked its key.
   bool m_KeyChecked = false;
   // Another VM has passed the request on; it is not passed on again.
   bool m_Detoured = false;
+  // Attempts that the VM which passed the request on has left.
+  int m_AttemptLimit = std::numeric_limits<int>::max();
   int m_MaxAttempts = 1;
   Time m_CallerDeadline{0};
   Time m_ExecutionDeadline{0}; // A server may execute the request until then.
@@ -131,6 +135,8 @@
   // Triggered when the caller closes its connection or the server is gone.
   std::shared_ptr<Cancellation> m_AttemptCancellation;
   DispatchDecision m_Decision;
+  // It has a token of the organisation's quota, or needs none.
+  bool m_QuotaAdmitted = false;
   // When the token of the organisation's quota expires; 0: none was needed.
   Time m_QuotaTokenExpiresAt{0};
   // Set while the request waits for a token; cancelling it wakes the request.
@@ -151,10 +157,17 @@
   std::string m_LastServerRegion;
   // Load stated in the last response.
   std::optional<ReportedLoad> m_ReportedLoad;
+  // Configuration that has decided the request last; 0: none.
   std::uint64_t m_ConfigRevision = 0;
 };
 using ExchangePtr = std::shared_ptr<Exchange>;
 
+// The route of a request and what follows from the configuration in force.
+struct FoundPolicy {
+  const Route *m_Route; // Valid until the next configuration is in force.
+  RequestPolicy m_Policy;
+};
+
 // The outcome of an attempt and its consequences for the request.
 struct AttemptResult {
   AttemptReport m_Report;
@@ -269,15 +282,26 @@
   asio::awaitable<HttpResponse> serveExchange(ExchangePtr Work);
   asio::awaitable<HttpResponse> attemptUntilAnswered(ExchangePtr Work);
 
+  // --- What the configuration says about a request (NodePolicy.cpp)
+  // Errors: UnknownRoute, UnknownApiKey, NoConfiguration, NoServerLeft.
+  Result<FoundPolicy> findPolicy(const Exchange &Work) const;
+  // Whether the configuration in force decides as the one that has decided the
+  // request last.
+  bool followsConfig(Exchange &Work) const;
+  // Decides a request by the configuration in force. Returns the refusal of one
+  // that it does not allow.
+  std::optional<HttpResponse> applyPolicy(Exchange &Work);
+  // Sets what the dispatcher decides by. The pool of a request that is decided
+  // again stays if its route still uses it.
+  void setDispatch(Exchange &Work, const Route &Matched);
+  // Wakes the waiting requests that a new configuration decides differently.
+  void recheckWaiting();
+
   // --- Organisations and API keys (NodeOrganisations.cpp)
-  // Finds the organisation of a request, and the priority and regions that
-  // follow. Returns the refusal of a request without a valid key, or with no
-  // region that it may run in.
-  std::optional<HttpResponse> authorise(Exchange &Work);
-  // Whether the key of a request still belongs to the same organisation.
-  bool keepsOrganisation(const Exchange &Work) const;
-  // Ends the queued requests whose key the configuration no longer has.
-  void refuseWithdrawnKeys();
+  // Finds the organisation of a request; null: it has none and needs none.
+  // Errors: UnknownApiKey, NoConfiguration.
+  Result<const Organisation *> findOrganisation(const Exchange &Work,
+                                                const Route &Matched) const;
   // Replaces the credentials of a request with the name of its organisation.
   void setOrganisation(const Exchange &Work,
                        std::vector<HeaderField> &Fields) const;
--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -72,7 +72,7 @@
   removeField(Request.m_Headers, CheckedOrganisationHeader);
   Work->m_Request = std::move(Request);
   Work->m_Detoured = true;
-  Work->m_MaxAttempts = static_cast<int>(
+  Work->m_AttemptLimit = static_cast<int>(
       std::min<std::int64_t>(Attempts, std::numeric_limits<int>::max()));
   m_Metrics.count("rhubarb_detours_taken_total");
   co_return co_await serveExchange(std::move(Work));
@@ -166,11 +166,8 @@
 asio::awaitable<std::optional<HttpResponse>> Node::detour(ExchangePtr Work) {
   int Pool = Work->m_Dispatch.m_Pool;
   for (int Try = 1; Try <= MaxDetourTries; ++Try) {
-    // The VM that gets the request does not check the key again.
-    if (!keepsOrganisation(*Work)) {
-      Work->m_Decision.m_Action = DispatchAction::Refuse;
-      co_return makeRefusal(*Work, ErrorKind::UnknownApiKey, Duration{0});
-    }
+    if (!followsConfig(*Work))
+      co_return std::nullopt; // The request is decided again.
     std::string Vm = m_Detours.choose(Pool, detourCandidates(*Work), now());
     if (Vm.empty())
       break;
--- a/tools/rhubarb-node/NodeOrganisations.cpp
+++ b/tools/rhubarb-node/NodeOrganisations.cpp
@@ -23,59 +23,26 @@
 
 } // namespace
 
-std::optional<HttpResponse> Node::authorise(Exchange &Work) {
-  const Organisation *Holder = nullptr;
+Result<const Organisation *>
+Node::findOrganisation(const Exchange &Work, const Route &Matched) const {
   if (Work.m_KeyChecked) {
-    Holder = m_Organisations.findByName(Work.m_Organisation);
+    const Organisation *Holder =
+        m_Organisations.findByName(Work.m_Organisation);
     // Without its row the organisation's allowed regions are not known.
     if (Holder == nullptr && !Work.m_Organisation.empty())
-      return makeRefusal(Work, ErrorKind::NoConfiguration, Duration{0});
-  } else if (!m_Organisations.empty()) {
-    if (auto Key = apiKey(Work.m_Request))
-      Holder = m_Organisations.findByKey(*Key);
-    if (Holder == nullptr && !Work.m_Public)
-      return makeRefusal(Work, ErrorKind::UnknownApiKey, Duration{0});
-    Work.m_Organisation = Holder == nullptr ? std::string() : Holder->m_Name;
+      return Error{ErrorKind::NoConfiguration, "organisation \"" +
+                                                   Work.m_Organisation +
+                                                   "\" is not known here"};
+    return Holder;
   }
-  DispatchRequest &Item = Work.m_Dispatch;
-  Item.m_Priority = Work.m_RoutePriority;
-  Item.m_AllowedRegions = Work.m_RouteRegions;
-  if (Holder == nullptr)
-    return std::nullopt;
-  Item.m_Priority = Holder->m_Priority.value_or(Work.m_RoutePriority);
-  RegionRestriction Allowed =
-      intersectRegions(Work.m_RouteRegions, Holder->m_AllowedRegions);
-  if (Allowed.m_None)
-    return makeRefusal(Work, ErrorKind::NoServerLeft, Duration{0});
-  Item.m_AllowedRegions = std::move(Allowed.m_Regions);
-  return std::nullopt;
-}
-
-bool Node::keepsOrganisation(const Exchange &Work) const {
-  if (Work.m_KeyChecked || m_Organisations.empty() ||
-      (Work.m_Public && Work.m_Organisation.empty()))
-    return true;
+  if (m_Organisations.empty())
+    return static_cast<const Organisation *>(nullptr);
   const Organisation *Holder = nullptr;
   if (auto Key = apiKey(Work.m_Request))
     Holder = m_Organisations.findByKey(*Key);
-  return Holder != nullptr && Holder->m_Name == Work.m_Organisation;
-}
-
-void Node::refuseWithdrawnKeys() {
-  for (auto Queued = m_QueuedExchanges.begin();
-       Queued != m_QueuedExchanges.end();) {
-    ExchangePtr Work = Queued->second;
-    if (keepsOrganisation(*Work)) {
-      ++Queued;
-      continue;
-    }
-    m_Dispatcher.cancel(Work->m_Dispatch.m_Id);
-    Work->m_Decision.m_Action = DispatchAction::Refuse;
-    Work->m_Decision.m_Error = ErrorKind::UnknownApiKey;
-    Work->m_Decision.m_RetryAfter = Duration{0};
-    Work->m_QueueTimer->cancel();
-    Queued = m_QueuedExchanges.erase(Queued);
-  }
+  if (Holder == nullptr && !Matched.m_Public)
+    return Error{ErrorKind::UnknownApiKey, "no organisation holds the key"};
+  return Holder;
 }
 
 void Node::setOrganisation(const Exchange &Work,
--- a/tools/rhubarb-node/NodeQuota.cpp
+++ b/tools/rhubarb-node/NodeQuota.cpp
@@ -127,8 +127,11 @@
 
 asio::awaitable<std::optional<HttpResponse>>
 Node::admitByQuota(ExchangePtr Work) {
-  if (Work->m_Organisation.empty() || Work->m_Detoured || m_QuotaLabels.empty())
+  if (Work->m_Organisation.empty() || Work->m_Detoured ||
+      m_QuotaLabels.empty()) {
+    Work->m_QuotaAdmitted = true;
     co_return std::nullopt;
+  }
   DispatchRequest &Item = Work->m_Dispatch;
   OrganisationHash Hash = stableHash(Work->m_Organisation);
   Duration Objective = Item.m_ObjectiveAt - Item.m_ArrivedAt;
@@ -148,10 +151,13 @@
     Time Began = now();
     co_await Work->m_QuotaTimer->async_wait(
         asio::as_tuple(asio::use_awaitable));
-    Work->m_QuotaTime = now() - Began;
+    Work->m_QuotaTime += now() - Began;
   }
   if (Work->m_RequestCancellation->cancelled())
     co_return makeRefusal(*Work, ErrorKind::CallerGone, Duration{0});
+  // A newer configuration has ended the wait.
+  if (Decision.m_Action == QuotaAction::Wait)
+    co_return std::nullopt;
   if (Decision.m_Action == QuotaAction::Refuse) {
     logEvent(Severity::Info, "quota_refused",
              {{"id", Work->m_TraceId},
@@ -162,6 +168,7 @@
     co_return makeRefusal(*Work, Decision.m_Error, Decision.m_RetryAfter);
   }
   Work->m_QuotaTokenExpiresAt = Decision.m_TokenExpiresAt;
+  Work->m_QuotaAdmitted = true;
   co_return std::nullopt;
 }
 
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -22,9 +22,6 @@
 constexpr Duration DefaultDeadline = 30s;
 // A server may respond at the very end of its deadline.
 constexpr Duration ResponseSlack = 40ms;
-// An attempt that started in time may end this much after its route's timeout:
-// a late response is worth more to the caller than none.
-constexpr Duration TimeoutGrace = 200ms;
 // Requests that arrive later during shutdown could not finish in time.
 constexpr Duration ServeWhileLeaving = 2500ms;
 constexpr Duration LeavingRetryAfter = 50ms;
@@ -54,23 +51,6 @@
                     [&](char X, char Y) { return Lower(X) == Lower(Y); });
 }
 
-// Returns the value of a cookie, or an empty string.
-std::string_view cookie(const HttpRequest &Request, std::string_view Name) {
-  std::string_view Rest = Request.header("Cookie");
-  while (!Rest.empty()) {
-    std::size_t End = Rest.find(';');
-    std::string_view Pair = Rest.substr(0, End);
-    Rest = End == std::string_view::npos ? std::string_view()
-                                         : Rest.substr(End + 1);
-    while (!Pair.empty() && Pair.front() == ' ')
-      Pair.remove_prefix(1);
-    if (Pair.starts_with(Name) && Pair.size() > Name.size() &&
-        Pair[Name.size()] == '=')
-      return Pair.substr(Name.size() + 1);
-  }
-  return {};
-}
-
 // Hashes what a request has in common with its repetitions. They come from any
 // address; of a streamed body only the first part is known.
 std::uint64_t fingerprint(const HttpRequest &Request) {
@@ -118,7 +98,6 @@
   auto Work = std::make_shared<Exchange>();
   removeField(Request.m_Headers, CheckedOrganisationHeader);
   Work->m_Request = std::move(Request);
-  Work->m_MaxAttempts = std::numeric_limits<int>::max();
   return serveExchange(std::move(Work));
 }
 
@@ -127,7 +106,6 @@
   Item.m_Id = m_NextRequest++;
   Item.m_ArrivedAt = now();
   Work->m_TraceId = Work->m_Request.header(m_HeaderNames.m_RequestId);
-  Work->m_ConfigRevision = revision();
   Work->m_Fingerprint = fingerprint(Work->m_Request);
   if (Work->m_Request.m_Client->m_Closed)
     co_return makeRefusal(*Work, ErrorKind::CallerGone, Duration{0});
@@ -136,49 +114,17 @@
                           retryAfterUntilReady());
   if (m_Leaving && now() - m_LeavingSince > ServeWhileLeaving)
     co_return makeRefusal(*Work, ErrorKind::Leaving, LeavingRetryAfter);
-  const Route *Matched =
-      m_Routes.find(Work->m_Request.header("Host"), Work->m_Request.path());
-  if (Matched == nullptr)
-    co_return makeRefusal(*Work, ErrorKind::UnknownRoute, Duration{0});
-
   std::int64_t Millis =
       parseInteger(Work->m_Request.header(m_HeaderNames.m_Deadline), -1);
   Work->m_CallerDeadline =
       Item.m_ArrivedAt + (Millis >= 0
                               ? Duration(std::chrono::milliseconds(Millis))
                               : DefaultDeadline);
-  Item.m_Deadline = Work->m_CallerDeadline;
-  if (Matched->m_Timeout.count() > 0)
-    Item.m_Deadline =
-        std::min(Item.m_Deadline, Item.m_ArrivedAt + Matched->m_Timeout);
-  Work->m_ExecutionDeadline = std::min(
-      Work->m_CallerDeadline, Item.m_Deadline + TimeoutGrace - ResponseSlack);
-  Duration Objective = Matched->m_Objective.count() > 0
-                           ? Matched->m_Objective
-                           : Item.m_Deadline - Item.m_ArrivedAt;
-  Item.m_ObjectiveAt = Item.m_ArrivedAt + Objective;
-  Item.m_RouteName = Matched->m_Name;
-  Work->m_Public = Matched->m_Public;
-  Work->m_RoutePriority = Matched->m_Priority;
-  Work->m_RouteRegions = Matched->m_AllowedRegions;
-  if (std::optional<HttpResponse> Refusal = authorise(*Work))
+  if (std::optional<HttpResponse> Refusal = applyPolicy(*Work))
     co_return std::move(*Refusal);
-  if (m_Leaving) {
-    // Another VM can answer what would still be running at the end.
-    if (!m_Dispatcher.endsBy(Item, stopTime(), Item.m_ArrivedAt))
-      co_return makeRefusal(*Work, ErrorKind::Leaving, LeavingRetryAfter);
-    Item.m_Deadline = std::min(Item.m_Deadline, stopTime());
-  }
-  Work->m_Idempotent = Matched->m_Idempotent;
-  Work->m_MaxAttempts = std::min(Work->m_MaxAttempts, Matched->m_MaxAttempts);
-  if (Matched->m_Affinity) {
-    std::string_view Object =
-        cookie(Work->m_Request, m_HeaderNames.m_AffinityCookie);
-    if (!Object.empty())
-      Item.m_ObjectHash = stableHash(Object, stableHash(Matched->m_Name)) | 1U;
-  }
-  Item.m_Pool =
-      Matched->m_Targets[m_Splitter.choose(*Matched, Item.m_ObjectHash)].m_Pool;
+  // Another VM can answer what would still be running at the end.
+  if (m_Leaving && !m_Dispatcher.endsBy(Item, stopTime(), Item.m_ArrivedAt))
+    co_return makeRefusal(*Work, ErrorKind::Leaving, LeavingRetryAfter);
   // A request that was passed on has been recorded by the VM that it came from.
   if (!Work->m_Detoured)
     retryBudget(Item.m_Pool).recordFirstAttempt(Item.m_ArrivedAt);
@@ -204,11 +150,7 @@
       Left->m_QueueTimer->cancel();
     }
   };
-  HttpResponse Response;
-  if (std::optional<HttpResponse> Refusal = co_await admitByQuota(Work))
-    Response = std::move(*Refusal);
-  else
-    Response = co_await attemptUntilAnswered(Work);
+  HttpResponse Response = co_await attemptUntilAnswered(Work);
   giveBackQuotaToken(*Work);
   Watch->m_OnClose = nullptr;
   co_return Response;
@@ -218,37 +160,55 @@
 asio::awaitable<HttpResponse> Node::attemptUntilAnswered(ExchangePtr Work) {
   std::optional<AttemptResult> Last;
   for (;;) {
+    // A configuration may have come into force in each wait.
+    if (Work->m_RequestCancellation->cancelled()) {
+      Work->m_Decision.m_Action = DispatchAction::Refuse;
+      co_return makeRefusal(*Work, ErrorKind::CallerGone, Duration{0});
+    }
+    if (!followsConfig(*Work))
+      if (std::optional<HttpResponse> Refusal = applyPolicy(*Work))
+        co_return Last && Last->m_FallbackResponse
+            ? std::move(*Last->m_FallbackResponse)
+            : std::move(*Refusal);
+    if (!Work->m_QuotaAdmitted) {
+      if (std::optional<HttpResponse> Refusal = co_await admitByQuota(Work))
+        co_return std::move(*Refusal);
+      continue;
+    }
     if (std::optional<HttpResponse> Refusal = refuseSuspect(*Work, false))
       co_return std::move(*Refusal);
     if (m_Suspects.crashes(Work->m_Fingerprint) > 0)
       excludeServersOfSuspects(*Work);
-    // The key may have been withdrawn since the last attempt.
-    if (Last)
-      if (std::optional<HttpResponse> Refusal = authorise(*Work))
-        co_return std::move(*Refusal);
     int Pool = Work->m_Dispatch.m_Pool;
-    if (m_Dispatcher.fleet().isCutOff(Pool) && mayDetour(*Work))
+    if (m_Dispatcher.fleet().isCutOff(Pool) && mayDetour(*Work)) {
       if (std::optional<HttpResponse> Response = co_await detour(Work))
         co_return std::move(*Response);
+      if (!followsConfig(*Work))
+        continue;
+    }
     co_await dispatch(Work);
+    // A newer configuration has taken the request out of the queue.
+    if (Work->m_Decision.m_Action == DispatchAction::Wait)
+      continue;
     if (Work->m_Decision.m_Action == DispatchAction::Refuse) {
       ErrorKind Kind = Work->m_Decision.m_Error;
-      if (errorInfo(Kind).m_Outcome == Outcome::NotRun &&
-          Kind != ErrorKind::UnknownApiKey && mayDetour(*Work) &&
+      if (errorInfo(Kind).m_Outcome == Outcome::NotRun && mayDetour(*Work) &&
           m_Dispatcher.fleet().unreachableShare(Pool, now()) >
-              MinUnreachableShare)
+              MinUnreachableShare) {
         if (std::optional<HttpResponse> Response = co_await detour(Work))
           co_return std::move(*Response);
+        if (!followsConfig(*Work))
+          continue;
+      }
       if (Last && Last->m_FallbackResponse)
         co_return std::move(*Last->m_FallbackResponse);
       if (Work->m_MayHaveRun && errorInfo(Kind).m_Outcome == Outcome::NotRun)
         Kind = Last ? Last->m_Error : ErrorKind::ServerCut;
       co_return makeRefusal(*Work, Kind, Work->m_Decision.m_RetryAfter);
     }
-    if (!keepsOrganisation(*Work)) {
+    if (!followsConfig(*Work)) {
       releaseServer(*Work);
-      Work->m_Decision.m_Action = DispatchAction::Refuse;
-      co_return makeRefusal(*Work, ErrorKind::UnknownApiKey, Duration{0});
+      continue;
     }
     if (std::optional<HttpResponse> Refusal = refuseSuspect(*Work, true))
       co_return std::move(*Refusal);
