Detours: the regions that the first VM allows bind the second one

What callers see: a request that a VM cut off from the servers passes on is decided by the version of the VM that gets it. If that one is older, the request runs, and its body goes, where the newer one does not allow it.

Cause: the organisation was passed on as checked, the regions were not; the second VM derived them from its own version alone.

Callers' own fields of that name are removed.

--- a/test/NodeFixture.h
+++ b/test/NodeFixture.h
@@ -31,6 +31,7 @@
 inline constexpr std::uint16_t CallerPort = 8161;
 inline constexpr std::uint16_t PeerPort = 7720;
 inline constexpr std::uint16_t MetricsPort = 9164;
+inline constexpr std::uint16_t DetourPort = 7721;
 inline constexpr std::size_t ServerSlots = 2;
 
 // Several test runs may share the machine.
@@ -50,6 +51,7 @@
   Settings.m_CallerPort = CallerPort;
   Settings.m_PeerPort = PeerPort;
   Settings.m_MetricsPort = MetricsPort;
+  Settings.m_DetourPort = DetourPort;
   Settings.m_RetrySlack = 60;
   Settings.m_MaxPipelinedRequests = PipelinedRequests;
   return Settings;
--- a/test/NodeRegionsTest.cpp
+++ b/test/NodeRegionsTest.cpp
@@ -225,4 +225,49 @@
           checkChange(static_cast<Wait>(W), static_cast<Holder>(H), Case);
         }
   }
+
+  // Guards against a VM with an older configuration that runs what another VM
+  // passes on outside the regions that the newer one allows.
+  TEST_CASE("a request that was passed on keeps to the regions of both VMs") {
+    struct Row {
+      const char *m_Name;
+      std::vector<std::string> m_Passed; // Regions that the other VM allows.
+      std::string m_RouteRegions;        // At this VM.
+      int m_Status;
+    };
+    const Row Rows[] = {
+        {"no limit", {}, "[]", 200},
+        {"the region of the server", {"b"}, "[]", 200},
+        {"two regions", {"a", "b"}, "[]", 200},
+        {"another region", {"a"}, "[]", 503},
+        {"no region in common", {"a"}, R"(["b"])", 503},
+        {"one in common", {"a", "b"}, R"(["b"])", 200},
+        {"only the other one in common", {"a", "b"}, R"(["a"])", 503},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      NodeFixture Fixture({});
+      Fixture.m_Node.addVms({{peerIp(), "a-1"}});
+      Fixture.addServer(answerWith("b"), "s1", "b");
+      Version Own{2};
+      Own.m_RouteRegions = Case.m_RouteRegions;
+      applyVersion(Fixture.m_Node, Own, "o1");
+      HttpRequest Request;
+      Request.m_Target = "/read/1";
+      Request.m_Headers = {{"Host", "x.example"},
+                           {"X-Rhubarbstack-Request-Id", "r1"},
+                           {"Rhubarb-Organisation", "o1"},
+                           {"Rhubarb-Detour", "1"}};
+      for (const std::string &Region : Case.m_Passed)
+        Request.m_Headers.push_back({"Rhubarb-Allowed-Region", Region});
+      HttpClient Peer(Fixture.m_Io, Fixture.m_Reach, peerIp());
+      Received Got;
+      asio::co_spawn(Fixture.m_Io,
+                     exchange(Peer, nodeIp() + ":" + std::to_string(DetourPort),
+                              Request, ClientEnd{}, Got),
+                     [&](const std::exception_ptr &) { Fixture.m_Io.stop(); });
+      Fixture.finish();
+      CHECK(Got.m_Status == Case.m_Status);
+    }
+  }
 }
--- a/tools/rhubarb-node/Headers.cpp
+++ b/tools/rhubarb-node/Headers.cpp
@@ -106,6 +106,17 @@
   });
 }
 
+std::vector<std::string> takeFields(std::vector<HeaderField> &Fields,
+                                    std::string_view Name) {
+  std::vector<std::string> Values;
+  std::string Wanted = lower(Name);
+  for (const HeaderField &Field : Fields)
+    if (lower(Field.m_Name) == Wanted)
+      Values.push_back(Field.m_Value);
+  removeField(Fields, Name);
+  return Values;
+}
+
 void setField(std::vector<HeaderField> &Fields, const std::string &Name,
               std::string Value) {
   removeField(Fields, Name);
--- a/tools/rhubarb-node/Headers.h
+++ b/tools/rhubarb-node/Headers.h
@@ -16,8 +16,15 @@
 // has none. Nodes set it when they pass a request on, and on no other request.
 inline constexpr const char *CheckedOrganisationHeader = "Rhubarb-Organisation";
 
+// Names a region that a request may run in, one field for each; none: every
+// region. Nodes set it when they pass a request on, and on no other request.
+inline constexpr const char *AllowedRegionHeader = "Rhubarb-Allowed-Region";
+
 // Removes all fields of a name.
 void removeField(std::vector<HeaderField> &Fields, std::string_view Name);
+// Removes all fields of a name and returns their values.
+std::vector<std::string> takeFields(std::vector<HeaderField> &Fields,
+                                    std::string_view Name);
 // Reads the load that a server reports: running requests, waiting requests,
 // slots and, from servers that share their machine, the run time there in
 // percent. Further figures are ignored. Returns none if one of the first three
--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -70,6 +70,7 @@
     Work->m_Organisation = Field.m_Value;
   }
   removeField(Request.m_Headers, CheckedOrganisationHeader);
+  Work->m_RegionLimit = takeFields(Request.m_Headers, AllowedRegionHeader);
   Work->m_Request = std::move(Request);
   Work->m_Detoured = true;
   Work->m_AttemptLimit = static_cast<int>(
@@ -122,6 +123,9 @@
     setField(Request.m_Headers, CheckedOrganisationHeader,
              Work->m_Organisation);
   }
+  // That VM may have an older configuration in force.
+  for (const std::string &Region : Work->m_Dispatch.m_AllowedRegions)
+    Request.m_Headers.push_back({AllowedRegionHeader, Region});
   Request.m_Body = Work->m_Request.m_Body;
   Request.m_BodyStream = Work->m_Request.m_BodyStream;
   SendOptions Options;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -97,6 +97,7 @@
 asio::awaitable<HttpResponse> Node::serveRequest(HttpRequest Request) {
   auto Work = std::make_shared<Exchange>();
   removeField(Request.m_Headers, CheckedOrganisationHeader);
+  removeField(Request.m_Headers, AllowedRegionHeader);
   Work->m_Request = std::move(Request);
   return serveExchange(std::move(Work));
 }
