Failing test: answers of the store that arrive slowly are given up

A stand-in store sends an answer evenly over 2 to 3 s, as a link of 10 Mbit/s that callers share does, to PlatformStore::watch and readRange: with a length, in chunks, after a wait, at a tenth of the link, with a pause of two retransmissions, beside a call that is answered.

RawAnswer can send its text in paced fragments; answers without them are sent as before.

--- a/test/RawExchange.h
+++ b/test/RawExchange.h
@@ -37,6 +37,11 @@
   // Sent again and again after m_Text, until the client closes.
   std::string m_RepeatedText = {};
   Duration m_RepeatPause{0};
+  // Sends m_Text in fragments of this many bytes, one each m_FragmentInterval.
+  // 0: not in fragments.
+  std::size_t m_FragmentBytes = 0;
+  Duration m_FragmentInterval{0};
+  Duration m_PauseInMiddle{0}; // After half of the fragments.
 };
 
 // Closes a connection with a reset.
@@ -66,6 +71,28 @@
   return Tail.ends_with(UploadEnd);
 }
 
+// Sends the text of an answer in its fragments, each at its time, so that the
+// rate does not depend on how long the writes take.
+inline asio::awaitable<void> writeFragments(tcp::socket &Socket,
+                                            const RawAnswer &Answer) {
+  Time DueAt = now();
+  std::size_t Middle = Answer.m_Text.size() / 2;
+  for (std::size_t At = 0; At < Answer.m_Text.size();
+       At += Answer.m_FragmentBytes) {
+    if (At >= Middle && At < Middle + Answer.m_FragmentBytes)
+      DueAt += Answer.m_PauseInMiddle;
+    if (DueAt > now())
+      co_await sleepFor(DueAt - now());
+    DueAt += Answer.m_FragmentInterval;
+    std::size_t Bytes =
+        std::min(Answer.m_FragmentBytes, Answer.m_Text.size() - At);
+    auto Part = asio::buffer(Answer.m_Text.data() + At, Bytes);
+    auto [Error, Written] = co_await asio::async_write(Socket, Part, Await);
+    if (Error)
+      co_return;
+  }
+}
+
 // Answers the request of one connection.
 inline asio::awaitable<void> answerRaw(std::shared_ptr<tcp::socket> Socket,
                                        RawAnswer Answer) {
@@ -75,8 +102,12 @@
       co_return;
   } while (Answer.m_ReadsUpload && !endsUpload(Tail));
   co_await sleepFor(Answer.m_PauseBefore);
-  std::size_t PartBytes = Answer.m_SendsBytewise ? 1 : Answer.m_Text.size();
-  for (std::size_t At = 0; At < Answer.m_Text.size(); At += PartBytes) {
+  if (Answer.m_FragmentBytes > 0)
+    co_await writeFragments(*Socket, Answer);
+  std::size_t WholeBytes =
+      Answer.m_FragmentBytes > 0 ? 0 : Answer.m_Text.size();
+  std::size_t PartBytes = Answer.m_SendsBytewise ? 1 : WholeBytes;
+  for (std::size_t At = 0; At < WholeBytes; At += PartBytes) {
     auto Part = asio::buffer(Answer.m_Text.data() + At, PartBytes);
     co_await asio::async_write(*Socket, Part, Await);
     if (Answer.m_SendsBytewise)
--- /dev/null
+++ b/test/StoreTransferTest.cpp
@@ -0,0 +1,294 @@
+// Answers of the platform's store that take long to arrive. A limit on the time
+// of the whole answer gave up transfers whose bytes were still arriving, and
+// the next call started them anew.
+#include "platform/Store.h"
+#include "test/RawExchange.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using namespace rhubarb;
+using namespace rhubarb::test;
+using namespace rhubarb::platform;
+
+namespace {
+
+// Wait time of the watches.
+constexpr Duration Wait = 800ms;
+// A silent store is noticed this long after the wait time of a watch.
+constexpr Duration SilentWatch = Wait + 500ms;
+// A silent store is noticed this long after a read was sent.
+constexpr Duration SilentRead = 1500ms;
+// A configuration must be in force this long after the operator changed it.
+constexpr Duration ConfigApply = 4s;
+// A link of 10 Mbit/s needs a second for a configuration of 1.2 MB. After a
+// call that was given up the pause and a whole transfer must still fit into
+// ConfigApply.
+constexpr Duration GivenUpInMiddle = ConfigApply - 1s - 200ms;
+// Allowance for a machine that is busy with other tests.
+constexpr Duration BusyMachine = 300ms;
+// Limit on the length of an answer.
+constexpr std::size_t MaxAnswerBytes = 8U << 20U;
+
+// A call that gets one item.
+enum class StoreCall : std::uint8_t { Watch, Range };
+constexpr std::string_view CallNames[] = {"watch", "range"};
+
+// How the end of an answer is told.
+enum class Framing : std::uint8_t { Length, Chunks };
+
+// Returns an answer with one item whose value has ValueBytes in base64.
+std::string makeAnswer(StoreCall Call, std::size_t ValueBytes,
+                       Framing Kind = Framing::Length) {
+  constexpr std::size_t ChunkBytes = 10'000;
+  std::string List = Call == StoreCall::Watch ? "events" : "items";
+  std::string Body = "{\"" + List + R"(":[{"key":"op/config","value":")" +
+                     std::string(ValueBytes, 'A') +
+                     R"(","revision":4}],"store_revision":5})";
+  std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+  if (Kind == Framing::Length)
+    return Head + "Content-Length: " + std::to_string(Body.size()) +
+           "\r\n\r\n" + Body;
+  std::string Text = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t At = 0; At < Body.size(); At += ChunkBytes) {
+    std::string Chunk = Body.substr(At, ChunkBytes);
+    std::ostringstream Size;
+    Size << std::hex << Chunk.size();
+    Text += Size.str() + "\r\n" + Chunk + "\r\n";
+  }
+  return Text + "0\r\n\r\n";
+}
+
+// Returns an answer of 1.2 MB in base64 that arrives evenly over a time.
+RawAnswer makeSlowAnswer(StoreCall Call, Duration Length,
+                         Framing Kind = Framing::Length,
+                         std::size_t ValueBytes = 1'200'000) {
+  constexpr Duration Interval = 50ms;
+  RawAnswer Answer;
+  Answer.m_Text = makeAnswer(Call, ValueBytes, Kind);
+  Answer.m_End = ConnectionEnd::Close;
+  Answer.m_FragmentInterval = Interval;
+  Answer.m_FragmentBytes =
+      Answer.m_Text.size() / static_cast<std::size_t>(Length / Interval) + 1;
+  return Answer;
+}
+
+// What a call has returned.
+struct CallEnd {
+  StoreStatus m_Status = StoreStatus::Conflict;
+  std::size_t m_ValueBytes = 0; // Of the item.
+  Duration m_Took{0};
+  std::size_t m_Connections = 0; // That the store has accepted.
+};
+
+// Accepts connections, of which the first gets an answer of its own.
+asio::awaitable<void> acceptCalls(tcp::acceptor &Acceptor, RawAnswer First,
+                                  RawAnswer Later, std::size_t &Connections) {
+  for (;;) {
+    auto [Error, Accepted] = co_await Acceptor.async_accept(Await);
+    if (Error)
+      co_return;
+    asio::co_spawn(Acceptor.get_executor(),
+                   answerRaw(std::make_shared<tcp::socket>(std::move(Accepted)),
+                             Connections++ == 0 ? First : Later),
+                   asio::detached);
+  }
+}
+
+// Makes a call to a store that gives one answer to it and another to the calls
+// after it, of which one is made OtherAfter the first. 0: no other call.
+CallEnd callStore(StoreCall Call, const RawAnswer &First,
+                  Duration OtherAfter = 0ms) {
+  asio::io_context Io{1};
+  Metrics Counters;
+  tcp::acceptor Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0});
+  CallEnd End;
+  RawAnswer Later{makeAnswer(StoreCall::Range, 4), ConnectionEnd::Close};
+  asio::co_spawn(Io, acceptCalls(Acceptor, First, Later, End.m_Connections),
+                 asio::detached);
+  PlatformStore Store(Io, Counters, "127.0.0.1", addressOf(Acceptor));
+  auto Run = [&]() -> asio::awaitable<void> {
+    Time Began = now();
+    StoreResponse Got;
+    if (Call == StoreCall::Watch)
+      Got = co_await Store.watch("op/", {0, 3}, Wait);
+    else
+      Got = co_await Store.readRange("op/");
+    End.m_Status = Got.m_Status;
+    End.m_Took = now() - Began;
+    for (const StoreItem &Item : Got.m_Page.m_Items)
+      End.m_ValueBytes += Item.m_Value.size();
+    Io.stop();
+  };
+  auto RunOther = [&]() -> asio::awaitable<void> {
+    co_await sleepFor(OtherAfter);
+    StoreResponse Other = co_await Store.readRange("vms/");
+    CHECK(Other.m_Status == StoreStatus::Ok);
+  };
+  spawn(Io, Run());
+  if (OtherAfter.count() > 0)
+    spawn(Io, RunOther());
+  Io.run_for(std::chrono::seconds(20));
+  return End;
+}
+
+} // namespace
+
+TEST_SUITE("store_transfer_slow") {
+  // Guards against calls that give up an answer while it arrives: its bytes are
+  // lost, and a VM with a narrow link never gets the configuration.
+  TEST_CASE("an answer that arrives slowly is taken whole") {
+    struct Row {
+      const char *m_Name;
+      Duration m_PauseBefore;
+      Duration m_Length; // Time from the first byte to the last.
+      std::size_t m_ValueBytes;
+      Framing m_Framing;
+      Duration m_PauseInMiddle;
+      Duration m_OtherAfter; // Time until another call is answered. 0: none.
+    };
+    constexpr std::size_t Large = 1'200'000;
+    const Row Rows[] = {
+        {"evenly", 0ms, 3s, Large, Framing::Length, 0ms, 0ms},
+        {"in chunks", 0ms, 3s, Large, Framing::Chunks, 0ms, 0ms},
+        {"after a wait", 700ms, 2500ms, Large, Framing::Length, 0ms, 0ms},
+        {"at a tenth of the link", 0ms, 3s, 360'000, Framing::Length, 0ms, 0ms},
+        {"a small one", 0ms, 3s, 180'000, Framing::Length, 0ms, 0ms},
+        {"with a pause of two retransmissions", 0ms, 2s, Large, Framing::Length,
+         600ms, 0ms},
+        {"beside a call that is answered", 0ms, 3s, Large, Framing::Length, 0ms,
+         600ms},
+    };
+    for (const Row &Case : Rows)
+      for (StoreCall Call : {StoreCall::Watch, StoreCall::Range}) {
+        CAPTURE(Case.m_Name);
+        CAPTURE(CallNames[static_cast<std::size_t>(Call)]);
+        RawAnswer Answer = makeSlowAnswer(Call, Case.m_Length, Case.m_Framing,
+                                          Case.m_ValueBytes);
+        Answer.m_PauseBefore = Case.m_PauseBefore;
+        Answer.m_PauseInMiddle = Case.m_PauseInMiddle;
+        CallEnd End = callStore(Call, Answer, Case.m_OtherAfter);
+        CHECK(storeStatusName(End.m_Status) == "ok");
+        CHECK(End.m_ValueBytes == Case.m_ValueBytes / 4 * 3);
+        CHECK(End.m_Took < ConfigApply);
+        CHECK(End.m_Connections == (Case.m_OtherAfter.count() > 0 ? 2 : 1));
+      }
+  }
+}
+
+TEST_SUITE("store_transfer") {
+  // Guards against answers that hold a call although nothing comes of them.
+  TEST_CASE("a call whose answer does not progress is given up in time") {
+    enum class Shape : std::uint8_t {
+      Nothing,
+      HeadOnly,
+      HeadLate,
+      HalfThenSilent,
+      HalfLateThenSilent,
+      ByteNowAndThen,
+      FewBytesSteadily,
+      HalfThenTrickle,
+    };
+    struct Row {
+      const char *m_Name;
+      Shape m_Shape;
+      bool m_IsSilent; // Noticed as soon as a store that never answers.
+    };
+    const Row Rows[] = {
+        {"never answers", Shape::Nothing, true},
+        {"the head, then nothing", Shape::HeadOnly, true},
+        {"the head late, then nothing", Shape::HeadLate, true},
+        {"stalls in the middle", Shape::HalfThenSilent, false},
+        {"begins late, stalls in the middle", Shape::HalfLateThenSilent, false},
+        {"a byte now and then", Shape::ByteNowAndThen, false},
+        {"a few bytes steadily", Shape::FewBytesSteadily, false},
+        {"half of it, then bytewise", Shape::HalfThenTrickle, false},
+    };
+    for (const Row &Case : Rows)
+      for (StoreCall Call : {StoreCall::Watch, StoreCall::Range}) {
+        CAPTURE(Case.m_Name);
+        CAPTURE(CallNames[static_cast<std::size_t>(Call)]);
+        std::string Text = makeAnswer(Call, 1'200'000);
+        std::string Head = Text.substr(0, Text.find("\r\n\r\n") + 4);
+        RawAnswer Answer{{}, ConnectionEnd::Silent};
+        switch (Case.m_Shape) {
+        case Shape::Nothing:
+          break;
+        case Shape::HeadLate:
+          Answer.m_PauseBefore = Wait;
+          [[fallthrough]];
+        case Shape::HeadOnly:
+          Answer.m_Text = Head;
+          break;
+        case Shape::HalfLateThenSilent:
+          Answer.m_PauseBefore = Wait;
+          [[fallthrough]];
+        case Shape::HalfThenSilent:
+          Answer.m_Text = Text.substr(0, Text.size() / 2);
+          break;
+        case Shape::ByteNowAndThen:
+          Answer.m_Text = Head;
+          Answer.m_RepeatedText = " ";
+          Answer.m_RepeatPause = 300ms;
+          break;
+        case Shape::FewBytesSteadily:
+          Answer.m_Text = Head;
+          Answer.m_RepeatedText = std::string(100, ' ');
+          Answer.m_RepeatPause = 20ms;
+          break;
+        case Shape::HalfThenTrickle:
+          Answer.m_Text = Text.substr(0, Text.size() / 2);
+          Answer.m_RepeatedText = " ";
+          Answer.m_RepeatPause = 20ms;
+          break;
+        }
+        CallEnd End = callStore(Call, Answer);
+        CHECK(storeStatusName(End.m_Status) == "lost");
+        Duration Silent = Call == StoreCall::Watch ? SilentWatch : SilentRead;
+        CHECK(End.m_Took <
+              (Case.m_IsSilent ? Silent : GivenUpInMiddle) + BusyMachine);
+      }
+  }
+
+  // Guards against an answer without end that is read for ever because its
+  // bytes never cease.
+  TEST_CASE("an answer without end is given up by its length") {
+    struct Row {
+      const char *m_Name;
+      std::size_t m_FragmentBytes;
+      Duration m_Pause;
+      Duration m_EndsBefore;
+    };
+    // 8 MB take no time without a pause, and 2.1 s at 4 MB/s.
+    const Row Rows[] = {
+        {"without a pause", 60'000, 0ms, 3s},
+        {"80 KB each 20 ms", 80'000, 20ms, 4s},
+    };
+    for (const Row &Case : Rows)
+      for (Framing Kind : {Framing::Length, Framing::Chunks})
+        for (StoreCall Call : {StoreCall::Watch, StoreCall::Range}) {
+          CAPTURE(Case.m_Name);
+          CAPTURE(static_cast<int>(Kind));
+          CAPTURE(CallNames[static_cast<std::size_t>(Call)]);
+          RawAnswer Answer;
+          Answer.m_End = ConnectionEnd::Close;
+          Answer.m_Text = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                          std::to_string(MaxAnswerBytes) + "\r\n\r\n";
+          Answer.m_RepeatedText = std::string(Case.m_FragmentBytes, ' ');
+          if (Kind == Framing::Chunks) {
+            std::ostringstream Size;
+            Size << std::hex << Case.m_FragmentBytes;
+            Answer.m_Text =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            Answer.m_RepeatedText =
+                Size.str() + "\r\n" + Answer.m_RepeatedText + "\r\n";
+          }
+          Answer.m_RepeatPause = Case.m_Pause;
+          CallEnd End = callStore(Call, Answer);
+          bool IsTaken = End.m_Status == StoreStatus::Ok;
+          CHECK_FALSE(IsTaken);
+          CHECK(End.m_Took < Case.m_EndsBefore);
+        }
+  }
+}
