--- a/net/Http.h
+++ b/net/Http.h
@@ -328,6 +328,17 @@
   // Returns whether a response belongs to the request. Other responses are
   // skipped. If null, every response does.
   std::function<bool(const HttpResponse &)> m_MatchesRequest;
+  // Lets a response take longer than its deadline while it arrives, as its
+  // length says nothing about whether the server still works. The deadline
+  // holds until the first bytes of the body. With them, and then each time that
+  // the bytes of one such time at m_MinBytesPerSecond have arrived, it moves to
+  // this long from now if that is later. The time for which a streamed body
+  // waits for its reader counts as well. 0: the deadline never moves.
+  Duration m_StallTimeout{0};
+  // Rate of the body in bytes a second that moves the deadline. Together with
+  // HttpClientLimits::m_MaxBodyBytes it limits how long a response can take. 0:
+  // any byte moves the deadline.
+  std::size_t m_MinBytesPerSecond = 0;
 };
 
 // Limits on responses and pooled connections.
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -168,7 +168,9 @@
   bool m_IsHead = false;
   bool m_RequestWritten = false; // The whole request has been written.
   bool m_WriteFailed = false;    // A part of it could not be written.
-  Time m_Deadline{0};
+  Time m_Deadline{0};            // May move, see SendOptions::m_StallTimeout.
+  bool m_BodyBegun = false;
+  std::size_t m_BytesSinceMove = 0; // Of the body, since the deadline moved.
   ConnectionPtr m_Connection;
   std::optional<ResponseParser> m_Parser;
   HttpResult m_Result;
@@ -180,6 +182,22 @@
       return {};
     return beast::error::timeout;
   }
+  // Counts bytes of the body, and moves the deadline if the response arrives
+  // fast enough, see SendOptions::m_StallTimeout.
+  void recordBodyBytes(beast::tcp_stream &Stream, std::size_t Bytes) {
+    Duration Stall = m_Options.m_StallTimeout;
+    if (Stall.count() == 0 || Bytes == 0 || now() >= m_Deadline)
+      return;
+    m_BytesSinceMove += Bytes;
+    double Needed = static_cast<double>(m_Options.m_MinBytesPerSecond) *
+                    std::chrono::duration<double>(Stall).count();
+    if (m_BodyBegun && static_cast<double>(m_BytesSinceMove) < Needed)
+      return;
+    m_BodyBegun = true;
+    m_BytesSinceMove = 0;
+    m_Deadline = std::max(m_Deadline, now() + Stall);
+    Stream.expires_after(m_Deadline - now());
+  }
   // Returns whether the body has ended with its connection, and that end may
   // be a failure. The kernel reports a failure once, to whichever operation
   // comes first; a read after that sees an end of the stream like any other.
@@ -428,9 +446,11 @@
   Result.m_Response.m_Buffered = Buffered;
   while (!Parser.is_done() && Body.size() < m_Limits.m_MaxBufferedBodyBytes &&
          Buffered->reserve(capacityForRead(Body))) {
+    std::size_t BytesBefore = Body.size();
     auto Error = co_await readBodyFragment(
         Stream, State->m_Connection->m_Buffer, Parser, Body);
     Buffered->set(Body.capacity());
+    State->recordBodyBytes(Stream, Body.size() - BytesBefore);
     if (!Error && !Parser.is_done())
       Error = State->checkDeadline();
     if (Error) {
@@ -560,6 +580,7 @@
     auto Error = co_await readCountedFragment(
         Held->m_Stream, Held->m_Buffer, *State->m_Parser, Fragment,
         connectionBudget(), bytesKeptFree());
+    State->recordBodyBytes(Held->m_Stream, Fragment.m_Bytes.size());
     if (!Error && !State->m_Parser->is_done())
       Error = State->checkDeadline();
     Fragment.m_Aborted =
--- a/test/HttpResponseEndTest.cpp
+++ b/test/HttpResponseEndTest.cpp
@@ -184,6 +184,49 @@
     }
   }
 
+  // Guards against a deadline that moves without leave, or does not move while
+  // a long response arrives.
+  TEST_CASE("the deadline of a response moves as its sender allows") {
+    struct Row {
+      const char *m_Name;
+      Duration m_StallTimeout;
+      std::size_t m_MinBytesPerSecond;
+      Duration m_PauseInMiddle;
+      bool m_IsWhole;
+    };
+    const Row Rows[] = {
+        {"never", 0ms, 0, 0ms, false},
+        {"never, and a rate is named", 0ms, 1000, 0ms, false},
+        {"with any byte", 500ms, 0, 0ms, true},
+        {"at a rate that is kept", 500ms, 50'000, 0ms, true},
+        {"at a rate that is not kept", 500ms, 5'000'000, 0ms, false},
+        {"until it stalls", 500ms, 0, 1500ms, false}};
+    for (const Row &Case : Rows)
+      for (bool FullBudget : {false, true}) {
+        CAPTURE(Case.m_Name);
+        CAPTURE(FullBudget);
+        constexpr std::size_t BodyBytes = 300'000;
+        RawAnswer Answer;
+        Answer.m_Text =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) +
+            "\r\n\r\n" + std::string(BodyBytes, 'a');
+        Answer.m_End = ConnectionEnd::Close;
+        Answer.m_FragmentBytes = BodyBytes / 30;
+        Answer.m_FragmentInterval = 40ms;
+        Answer.m_PauseInMiddle = Case.m_PauseInMiddle;
+        ClientEnd End;
+        End.m_Timeout = 300ms;
+        End.m_FullBudget = FullBudget;
+        End.m_StallTimeout = Case.m_StallTimeout;
+        End.m_MinBytesPerSecond = Case.m_MinBytesPerSecond;
+        Received Got = send(Answer, Upload::None, End);
+        CHECK(Got.m_IsWhole == Case.m_IsWhole);
+        if (Case.m_IsWhole)
+          CHECK(Got.m_Body == std::string(BodyBytes, 'a'));
+        CHECK(Got.m_Took < RequestTimeout);
+      }
+  }
+
   // The write that meets the reset is resumed after the read that sees the end
   // of the stream, if both were woken together.
   TEST_CASE("a reset is seen before the write that has met it is resumed") {
--- a/test/RawExchange.h
+++ b/test/RawExchange.h
@@ -181,6 +181,9 @@
   std::size_t m_LeaveAfterBytes = 0;
   // Counts what the client holds, its connections too. Null: not counted.
   BufferBudgetPtr m_CountingBudget = nullptr;
+  // As in SendOptions.
+  Duration m_StallTimeout{0};
+  std::size_t m_MinBytesPerSecond = 0;
 };
 
 struct Received {
@@ -237,6 +240,8 @@
   Time Began = now();
   SendOptions Options;
   Options.m_Cancellation = std::make_shared<Cancellation>();
+  Options.m_StallTimeout = End.m_StallTimeout;
+  Options.m_MinBytesPerSecond = End.m_MinBytesPerSecond;
   if (End.m_CancelAfter.count() > 0)
     asio::co_spawn(co_await asio::this_coro::executor,
                    cancelLater(Options.m_Cancellation, End.m_CancelAfter),
