store_lost says how long the call took and how much of the answer had arrived

Measured: unit.store_transfer, "the log says how much of a lost answer had arrived": nothing, a part of the head, the head and a part of the body are told to the byte.

--- a/test/StoreTransferTest.cpp
+++ b/test/StoreTransferTest.cpp
@@ -2,6 +2,7 @@
 // of the whole answer gave up transfers whose bytes were still arriving, and
 // the next call started them anew.
 #include "platform/Store.h"
+#include "test/LogPipe.h"
 #include "test/RawExchange.h"
 
 #include <doctest/doctest.h>
@@ -251,6 +252,42 @@
       }
   }
 
+  // Guards against a log that does not tell a silent store from an answer that
+  // was given up while it arrived.
+  TEST_CASE("the log says how much of a lost answer had arrived") {
+    struct Row {
+      const char *m_Name;
+      std::size_t m_TextBytes; // That the store sends.
+    };
+    const std::string Text = makeAnswer(StoreCall::Watch, 300'000);
+    const Row Rows[] = {
+        {"nothing", 0},
+        {"a part of the head", 20},
+        {"the head", Text.find("\r\n\r\n") + 4},
+        {"a part of the body", Text.size() / 2},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      Pipe Output;
+      startLog(settingsFor(Output, 100));
+      RawAnswer Answer{Text.substr(0, Case.m_TextBytes), ConnectionEnd::Silent};
+      CallEnd End = callStore(StoreCall::Watch, Answer);
+      flushLog();
+      std::string Lines = Output.readAll();
+      CAPTURE(Lines);
+      CHECK(storeStatusName(End.m_Status) == "lost");
+      CHECK(Lines.find("event=store_lost call=watch") != std::string::npos);
+      CHECK(Lines.find(" received_bytes=" + std::to_string(Case.m_TextBytes) +
+                       "\n") != std::string::npos);
+      std::size_t At = Lines.find(" ms=");
+      REQUIRE(At != std::string::npos);
+      Duration Logged =
+          std::chrono::milliseconds(std::stol(Lines.substr(At + 4)));
+      CHECK(Logged >= Wait);
+      CHECK(Logged <= End.m_Took);
+    }
+  }
+
   // Guards against an answer without end that is read for ever because its
   // bytes never cease.
   TEST_CASE("an answer without end is given up by its length") {
