--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -101,10 +101,12 @@
 
 // Reads the head of a response. Refuses lines that continue the one before
 // (RFC 9112, section 5.2), which the parser would join to its value: a server
-// in trouble would change a field that callers rely on.
+// in trouble would change a field that callers rely on. Adds the bytes of the
+// head to Received.
 asio::awaitable<boost::system::error_code> readHead(beast::tcp_stream &Stream,
                                                     ReadBuffer &Buffer,
-                                                    ResponseParser &Parser) {
+                                                    ResponseParser &Parser,
+                                                    std::size_t &Received) {
   for (;;) {
     boost::system::error_code Error = http::error::need_more;
     if (Buffer.size() > 0) {
@@ -117,6 +119,7 @@
           Lines.find("\r\n\t") != std::string_view::npos)
         co_return http::error::bad_field;
       Buffer.consume(Parsed);
+      Received += Parsed;
     }
     if (Error != http::error::need_more)
       co_return Error;
@@ -126,8 +129,10 @@
     auto [ReadError, Bytes] =
         co_await Stream.async_read_some(Buffer.prepare(ReadBytes), Await);
     Buffer.commit(Bytes);
-    if (ReadError)
+    if (ReadError) {
+      Received += Buffer.size();
       co_return ReadError;
+    }
   }
 }
 
@@ -168,7 +173,9 @@
   bool m_IsHead = false;
   bool m_RequestWritten = false; // The whole request has been written.
   bool m_WriteFailed = false;    // A part of it could not be written.
-  Time m_Deadline{0};
+  Time m_Deadline{0};            // May move, see SendOptions::m_StallTimeout.
+  bool m_BodyBegun = false;
+  std::size_t m_BytesSinceMove = 0; // Of the body, since the deadline moved.
   ConnectionPtr m_Connection;
   std::optional<ResponseParser> m_Parser;
   HttpResult m_Result;
@@ -180,6 +187,23 @@
       return {};
     return beast::error::timeout;
   }
+  // Counts bytes of the body, and moves the deadline if the response arrives
+  // fast enough, see SendOptions::m_StallTimeout.
+  void recordBodyBytes(beast::tcp_stream &Stream, std::size_t Bytes) {
+    m_Result.m_ReceivedBytes += Bytes;
+    Duration Stall = m_Options.m_StallTimeout;
+    if (Stall.count() == 0 || Bytes == 0 || now() >= m_Deadline)
+      return;
+    m_BytesSinceMove += Bytes;
+    double Needed = static_cast<double>(m_Options.m_MinBytesPerSecond) *
+                    std::chrono::duration<double>(Stall).count();
+    if (m_BodyBegun && static_cast<double>(m_BytesSinceMove) < Needed)
+      return;
+    m_BodyBegun = true;
+    m_BytesSinceMove = 0;
+    m_Deadline = std::max(m_Deadline, now() + Stall);
+    Stream.expires_after(m_Deadline - now());
+  }
   // Returns whether the body has ended with its connection, and that end may
   // be a failure. The kernel reports a failure once, to whichever operation
   // comes first; a read after that sees an end of the stream like any other.
@@ -428,9 +452,11 @@
   Result.m_Response.m_Buffered = Buffered;
   while (!Parser.is_done() && Body.size() < m_Limits.m_MaxBufferedBodyBytes &&
          Buffered->reserve(capacityForRead(Body))) {
+    std::size_t BytesBefore = Body.size();
     auto Error = co_await readBodyFragment(
         Stream, State->m_Connection->m_Buffer, Parser, Body);
     Buffered->set(Body.capacity());
+    State->recordBodyBytes(Stream, Body.size() - BytesBefore);
     if (!Error && !Parser.is_done())
       Error = State->checkDeadline();
     if (Error) {
@@ -493,7 +519,8 @@
     ResponseParser &Parser = State->m_Parser.emplace();
     Parser.body_limit(m_Limits.m_MaxBodyBytes);
     Parser.skip(State->m_IsHead);
-    auto Error = co_await readHead(Stream, Buffer, Parser);
+    auto Error =
+        co_await readHead(Stream, Buffer, Parser, Result.m_ReceivedBytes);
     if (Error) {
       Result.m_Failure = toFailure(Error);
       co_return false;
@@ -560,6 +587,7 @@
     auto Error = co_await readCountedFragment(
         Held->m_Stream, Held->m_Buffer, *State->m_Parser, Fragment,
         connectionBudget(), bytesKeptFree());
+    State->recordBodyBytes(Held->m_Stream, Fragment.m_Bytes.size());
     if (!Error && !State->m_Parser->is_done())
       Error = State->checkDeadline();
     Fragment.m_Aborted =
