Configuration: no second copy from a peer while the store's arrives

Cause: a VM whose operators' data is older than 500 ms takes the store for silent and fetches the configuration from any peer whose heartbeat names a newer one. A document of 1.2 MB takes about a second on a link of 10 Mbit/s, so a VM in the middle of the store's answer began a second copy, which halved the rate of the first, loaded the peer's link, and ended at its own time limit. The class: slow taken for silent.

Change: while the header of an answer with operators' changes has come and its end has not, no peer is asked (hook m_ReceivesOperatorChanges). A silent store is recognised as before.

Test: unit.node_peer_config; with the hook ignored the row "an answer is arriving" failed, now 8 of 8 checks hold. unit.store, node_regions, store_transfer and store_transfer_slow pass.

--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -205,6 +205,8 @@
       m_MakeLookupResponse;
   // Parses and applies a configuration fetched from a peer.
   std::function<void(const std::string &)> m_ApplyConfig;
+  // Whether an answer of the control plane with operators' changes is arriving.
+  std::function<bool()> m_ReceivesOperatorChanges;
 };
 
 // The state of the process. Runs on a single thread.
@@ -424,6 +426,9 @@
   void sendHeartbeats();
   void handleHeartbeat(const Json::Value &Params, const std::string &PeerIp);
   asio::awaitable<HttpResponse> servePeer(HttpRequest Request);
+  // Whether to fetch a configuration from a peer that has a newer one: the
+  // control plane seems not to answer.
+  bool needsConfigOfPeer() const;
   asio::awaitable<void> fetchConfig(std::string Ip);
   asio::awaitable<void> fetchList(std::string Ip);
   bool listsStayDifferent(const ServerListUpdate &Update);
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -141,7 +141,7 @@
     if (!m_Members.observe(Report, Row.m_Age, now()))
       continue;
     if (Report.m_Revision > revision() && Report.m_Vm == PeerIp &&
-        !m_FetchingConfig && now() - m_OperatorKnownAt > PeerConfigWait)
+        needsConfigOfPeer())
       spawn(m_Io, fetchConfig(PeerIp));
     // A VM that starts during an outage of the control plane fetches the list
     // from the first peer that has one.
@@ -175,6 +175,14 @@
   co_return Response;
 }
 
+// A long document takes more than PeerConfigWait on a narrow link. A second
+// copy of it would halve the rate of the first.
+bool Node::needsConfigOfPeer() const {
+  return !m_FetchingConfig && now() - m_OperatorKnownAt > PeerConfigWait &&
+         !(m_Hooks.m_ReceivesOperatorChanges &&
+           m_Hooks.m_ReceivesOperatorChanges());
+}
+
 asio::awaitable<void> Node::fetchConfig(std::string Ip) {
   m_FetchingConfig = true;
   HttpRequest Request;
