store_lost says how long the call took and how much of the answer had arrived

HttpResult has m_ReceivedBytes: heads, and the body as far as send() has read it. The pipe of LogTest.cpp is in test/LogPipe.h, for both tests; drain() reads all lines, as other tests of the process leave more than a pipe holds.

--- a/net/Http.h
+++ b/net/Http.h
@@ -316,6 +316,9 @@
   Duration m_IdleTime{0};          // How long a reused connection was idle.
   Duration m_ConnectTime{0};       // Time to establish a new connection.
   int m_SkippedResponses = 0;      // Discarded responses to other requests.
+  // Bytes of heads and of the body, as far as send() has read it. Tells a
+  // response that broke off or came too slowly from none.
+  std::size_t m_ReceivedBytes = 0;
 };
 
 // Options of a single request.
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -101,10 +101,12 @@
 
 // Reads the head of a response. Refuses lines that continue the one before
 // (RFC 9112, section 5.2), which the parser would join to its value: a server
-// in trouble would change a field that callers rely on.
+// in trouble would change a field that callers rely on. Adds the bytes of the
+// head to Received.
 asio::awaitable<boost::system::error_code> readHead(beast::tcp_stream &Stream,
                                                     ReadBuffer &Buffer,
-                                                    ResponseParser &Parser) {
+                                                    ResponseParser &Parser,
+                                                    std::size_t &Received) {
   for (;;) {
     boost::system::error_code Error = http::error::need_more;
     if (Buffer.size() > 0) {
@@ -117,6 +119,7 @@
           Lines.find("\r\n\t") != std::string_view::npos)
         co_return http::error::bad_field;
       Buffer.consume(Parsed);
+      Received += Parsed;
     }
     if (Error != http::error::need_more)
       co_return Error;
@@ -126,8 +129,10 @@
     auto [ReadError, Bytes] =
         co_await Stream.async_read_some(Buffer.prepare(ReadBytes), Await);
     Buffer.commit(Bytes);
-    if (ReadError)
+    if (ReadError) {
+      Received += Buffer.size();
       co_return ReadError;
+    }
   }
 }
 
@@ -185,6 +190,7 @@
   // Counts bytes of the body, and moves the deadline if the response arrives
   // fast enough, see SendOptions::m_StallTimeout.
   void recordBodyBytes(beast::tcp_stream &Stream, std::size_t Bytes) {
+    m_Result.m_ReceivedBytes += Bytes;
     Duration Stall = m_Options.m_StallTimeout;
     if (Stall.count() == 0 || Bytes == 0 || now() >= m_Deadline)
       return;
@@ -513,7 +519,8 @@
     ResponseParser &Parser = State->m_Parser.emplace();
     Parser.body_limit(m_Limits.m_MaxBodyBytes);
     Parser.skip(State->m_IsHead);
-    auto Error = co_await readHead(Stream, Buffer, Parser);
+    auto Error =
+        co_await readHead(Stream, Buffer, Parser, Result.m_ReceivedBytes);
     if (Error) {
       Result.m_Failure = toFailure(Error);
       co_return false;
--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -1,44 +1,12 @@
 // Logging: rate limit, non-blocking output, and analysis of the lines.
-#include "net/Log.h"
 #include "net/LogReader.h"
-
-#include <doctest/doctest.h>
-
-#include <fcntl.h>
-#include <unistd.h>
+#include "test/LogPipe.h"
 
 using namespace rhubarb::net;
+using namespace rhubarb::test;
 
 namespace {
 
-// Both ends of a pipe, closed at the end of the scope.
-struct Pipe {
-  Pipe() { REQUIRE(pipe(m_Ends) == 0); }
-  ~Pipe() {
-    close(m_Ends[0]);
-    close(m_Ends[1]);
-    startLog({}); // Restores standard output for later tests.
-  }
-  std::string readAll() const {
-    std::string Text;
-    char Buffer[4096];
-    fcntl(m_Ends[0], F_SETFL, O_NONBLOCK);
-    for (ssize_t Size = 0;
-         (Size = read(m_Ends[0], Buffer, sizeof(Buffer))) > 0;)
-      Text.append(Buffer, static_cast<std::size_t>(Size));
-    return Text;
-  }
-  int m_Ends[2] = {-1, -1};
-};
-
-LogSettings settingsFor(const Pipe &Output, int LinesPerSecond) {
-  LogSettings Settings;
-  Settings.m_Program = "test";
-  Settings.m_LinesPerSecond = LinesPerSecond;
-  Settings.m_Descriptor = Output.m_Ends[1];
-  return Settings;
-}
-
 const char *const SampleLog =
     "time=2026-03-01T00:00:01.000Z event=config_in_force revision=7\n"
     "no log line at all\n"
--- a/test/StoreTransferTest.cpp
+++ b/test/StoreTransferTest.cpp
@@ -2,6 +2,7 @@
 // of the whole answer gave up transfers whose bytes were still arriving, and
 // the next call started them anew.
 #include "platform/Store.h"
+#include "test/LogPipe.h"
 #include "test/RawExchange.h"
 
 #include <doctest/doctest.h>
@@ -133,6 +134,13 @@
   return End;
 }
 
+// Returns the number that follows a text.
+std::size_t numberAfter(const std::string &Text, const std::string &Before) {
+  std::size_t At = Text.find(Before);
+  REQUIRE(At != std::string::npos);
+  return std::stoul(Text.substr(At + Before.size()));
+}
+
 } // namespace
 
 TEST_SUITE("store_transfer_slow") {
@@ -251,6 +259,38 @@
       }
   }
 
+  // Guards against a log that does not tell a silent store from an answer that
+  // was given up while it arrived.
+  TEST_CASE("the log says how much of a lost answer had arrived") {
+    struct Row {
+      const char *m_Name;
+      std::size_t m_TextBytes; // That the store sends.
+    };
+    const std::string Text = makeAnswer(StoreCall::Watch, 300'000);
+    const Row Rows[] = {
+        {"nothing", 0},
+        {"a part of the head", 20},
+        {"the head", Text.find("\r\n\r\n") + 4},
+        {"a part of the body", Text.size() / 2},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      Pipe Output;
+      startLog(settingsFor(Output, 100));
+      Output.drain(); // Lines of earlier tests in this process.
+      RawAnswer Answer{Text.substr(0, Case.m_TextBytes), ConnectionEnd::Silent};
+      CallEnd End = callStore(StoreCall::Watch, Answer);
+      std::string Lines = Output.drain();
+      CAPTURE(Lines);
+      CHECK(storeStatusName(End.m_Status) == "lost");
+      CHECK(Lines.find("event=store_lost call=watch") != std::string::npos);
+      CHECK(numberAfter(Lines, " received_bytes=") == Case.m_TextBytes);
+      Duration Logged = std::chrono::milliseconds(numberAfter(Lines, " ms="));
+      CHECK(Logged >= Wait);
+      CHECK(Logged <= End.m_Took);
+    }
+  }
+
   // Guards against an answer without end that is read for ever because its
   // bytes never cease.
   TEST_CASE("an answer without end is given up by its length") {
