unit.node_stop: count the node's refusals; ample slots where none may come

Cause: the check, not the node. The caller got 16 complete responses: 15 successes and one 503 wait_too_long with Retry-After, of a request that had not run (tries=0). The check says that it counts such refusals, but it asked for a body that ends in "}\n". Node::makeRefusal sends none (Content-Length: 0), so no refusal of the node was ever counted. The refusal has nothing to do with the stop: four servers with two slots, eight requests at once, and a request is offered three of the servers; when these are full it waits or is refused by the predicted wait. Which servers are offered is drawn from a seed made of the node's address, and the fixture's address holds the process id.

Change: responses are split by the lengths that they name. A success is a 200 with the whole body; a refusal a whole 503 wait_too_long with Retry-After; anything else fails. The rows of before give each server 32 slots and allow no refusal: all must succeed, as the old check asked in fact. Two new rows with one server of two slots demand an answer to each request, with both successes and refusals among them.

--- a/test/NodeFixture.h
+++ b/test/NodeFixture.h
@@ -78,7 +78,8 @@
   std::string m_Deadline = "3000"; // Of each request, in milliseconds.
 
   explicit NodeFixture(const std::vector<RawAnswer> &Servers,
-                       int PipelinedRequests = 1)
+                       int PipelinedRequests = 1,
+                       std::size_t Slots = ServerSlots)
       : m_Node(m_Io, m_Counters, nodeSettings(PipelinedRequests),
                platform::headerNames()) {
     REQUIRE(m_Node.start());
@@ -86,10 +87,11 @@
     REQUIRE(Parsed);
     m_Node.applyConfig(std::move(Parsed.value()), {1, Config});
     for (const RawAnswer &Answer : Servers)
-      addServer(Answer, "s1");
+      addServer(Answer, "s1", Slots);
   }
 
-  void addServer(const RawAnswer &Answer, const char *Service) {
+  void addServer(const RawAnswer &Answer, const char *Service,
+                 std::size_t Slots = ServerSlots) {
     tcp::acceptor &Acceptor = m_Acceptors.emplace_back(
         m_Io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     asio::co_spawn(m_Io, acceptRaw(Acceptor, Answer), asio::detached);
@@ -99,7 +101,7 @@
     Info.m_PoolName = Service;
     Info.m_Domain = "a-1";
     Info.m_Region = "a";
-    Info.m_Slots = static_cast<int>(ServerSlots);
+    Info.m_Slots = static_cast<int>(Slots);
     m_Node.serverList().put(Info, {1, 1}, now());
     m_Node.confirmListComplete({1, 1}, now());
     m_Node.recordListRead(node::ListReadResult::Current);
--- a/test/NodeStopTest.cpp
+++ b/test/NodeStopTest.cpp
@@ -19,6 +19,9 @@
     "X-Rhubarbstack-Request-Id: r1\r\nContent-Length: 4\r\n"
     "X-Rhubarbstack-Request-Deadline: 3000\r\n\r\nbody";
 
+// Leaves each server with spare slots for all requests of a row.
+constexpr std::size_t AmpleSlots = 32;
+
 // Sends a text at once and reads until the node closes the connection.
 asio::awaitable<void> exchangeRaw(tcp::socket &Socket, std::string Text,
                                   std::string &Received) {
@@ -37,20 +40,46 @@
   co_await Stopped.stop();
 }
 
-// Returns the number of complete responses that are successes, or refusals of
-// requests that have not run and may be sent again.
-std::size_t countAnswers(const std::string &Received) {
-  std::size_t Count = 0;
-  for (std::size_t At = Received.find("HTTP/1.1 "); At != std::string::npos;) {
-    std::size_t Next = Received.find("HTTP/1.1 ", At + 1);
-    std::string One = Received.substr(At, Next - At);
-    bool IsRefusal = One.starts_with("HTTP/1.1 503") &&
-                     One.find("Retry-After: ") != std::string::npos &&
-                     One.ends_with("}\n");
-    Count += One.ends_with("sound") || IsRefusal ? 1 : 0;
-    At = Next;
+// Numbers of responses that a caller has received.
+struct AnswerCounts {
+  std::size_t m_Successes = 0;
+  // Refusals of requests that have not run and may be sent again.
+  std::size_t m_Refusals = 0;
+  std::size_t m_Others = 0; // Incomplete responses too.
+};
+
+// Splits the received bytes by the lengths that the responses name.
+AnswerCounts countAnswers(std::string_view Rest) {
+  constexpr std::string_view HeadEnd = "\r\n\r\n";
+  constexpr std::string_view LengthField = "\r\nContent-Length: ";
+  AnswerCounts Counts;
+  while (!Rest.empty()) {
+    std::size_t HeadBytes = Rest.find(HeadEnd);
+    std::string_view Head = Rest.substr(0, HeadBytes);
+    std::size_t LengthAt = Head.find(LengthField);
+    if (HeadBytes == std::string_view::npos ||
+        LengthAt == std::string_view::npos) {
+      ++Counts.m_Others;
+      break;
+    }
+    std::size_t BodyBytes =
+        std::stoul(std::string(Head.substr(LengthAt + LengthField.size())));
+    Rest.remove_prefix(HeadBytes + HeadEnd.size());
+    std::string_view Body = Rest.substr(0, BodyBytes);
+    Rest.remove_prefix(Body.size());
+    bool IsRefusal = Head.starts_with("HTTP/1.1 503 ") &&
+                     Body.size() == BodyBytes &&
+                     Head.find("\r\nRetry-After: ") != std::string_view::npos &&
+                     Head.find("\r\nRhubarb-Reason: wait_too_long\r\n") !=
+                         std::string_view::npos;
+    if (Head.starts_with("HTTP/1.1 200 ") && Body == "sound")
+      ++Counts.m_Successes;
+    else if (IsRefusal)
+      ++Counts.m_Refusals;
+    else
+      ++Counts.m_Others;
   }
-  return Count;
+  return Counts;
 }
 
 } // namespace
@@ -65,11 +94,16 @@
       bool m_HasUpload; // Sent before the others.
       std::size_t m_Gets;
       Duration m_StopAfter;
+      // The requests need more slots than there are, so some are refused, as
+      // they are without a stop.
+      bool m_ServersFull = false;
     };
     const Row Rows[] = {
         {"as many as run at once", 8, false, 8, 50ms},
         {"one more than run at once", 8, false, 9, 50ms},
         {"twice as many", 8, false, 16, 150ms},
+        {"more than the servers take", 8, false, 8, 50ms, true},
+        {"twice as many, and full servers", 8, false, 16, 150ms, true},
         {"behind an upload", 8, true, 3, 50ms},
         {"behind an upload, one by one", 1, true, 3, 50ms},
         {"one by one", 1, false, 5, 150ms},
@@ -81,8 +115,10 @@
       const RawAnswer Sound{head() + "Connection: close\r\n"
                                      "Content-Length: 5\r\n\r\nsound",
                             ConnectionEnd::Close, false, 200ms};
-      NodeFixture Fixture(std::vector<RawAnswer>(4, Sound),
-                          Case.m_PipelinedRequests);
+      std::size_t Servers = Case.m_ServersFull ? 1 : 4;
+      std::size_t Slots = Case.m_ServersFull ? ServerSlots : AmpleSlots;
+      NodeFixture Fixture(std::vector<RawAnswer>(Servers, Sound),
+                          Case.m_PipelinedRequests, Slots);
       std::string Text = Case.m_HasUpload ? ShortUpload : "";
       for (std::size_t I = 0; I < Case.m_Gets; ++I)
         Text += get("/read/" + std::to_string(I));
@@ -95,7 +131,13 @@
                      [&](const std::exception_ptr &) { Fixture.m_Io.stop(); });
       Fixture.finish();
       Fixture.runFor(20ms); // Reads what the node has written.
-      CHECK(countAnswers(Received) == Case.m_Gets + (Case.m_HasUpload ? 1 : 0));
+      CAPTURE(Received);
+      AnswerCounts Counts = countAnswers(Received);
+      CHECK(Counts.m_Successes + Counts.m_Refusals ==
+            Case.m_Gets + (Case.m_HasUpload ? 1 : 0));
+      CHECK(Counts.m_Others == 0);
+      CHECK((Counts.m_Refusals > 0) == Case.m_ServersFull);
+      CHECK(Counts.m_Successes > 0);
     }
   }
 }
