--- a/test/NodeFixture.h
+++ b/test/NodeFixture.h
@@ -81,7 +81,8 @@
   std::string m_ApiKey;            // Of each request; empty: none.
 
   explicit NodeFixture(const std::vector<RawAnswer> &Servers,
-                       int PipelinedRequests = 1)
+                       int PipelinedRequests = 1,
+                       std::size_t Slots = ServerSlots)
       : m_Node(m_Io, m_Counters, nodeSettings(PipelinedRequests),
                platform::headerNames()) {
     REQUIRE(m_Node.start());
@@ -89,7 +90,7 @@
     REQUIRE(Parsed);
     m_Node.applyConfig(std::move(Parsed.value()), {1, Config});
     for (const RawAnswer &Answer : Servers)
-      addServer(Answer, "s1");
+      addServer(Answer, "s1", "a", Slots);
   }
 
   void addServer(const RawAnswer &Answer, const char *Service,
