Requests: compare the configuration once more when the server's connection is open

Cause: a request is decided, then its connection is opened, which takes a round trip of 110 ms between regions here and up to the connect timeout when packets are lost.

Change: SendOptions::m_MaySend is asked when a new connection is open, before the first byte. The node compares the request's policy there, for servers and for detours. A request that is withheld has not been sent, counts as no attempt, keeps its quota token and is decided again; the connection stays for later requests. Reused connections have no such wait.

Test: unit.http, "a request is withheld before its first byte" (the option did not exist before). A node whose configuration changes during a connect is not tested: a connect on loopback does not wait.

--- a/net/Http.h
+++ b/net/Http.h
@@ -304,6 +304,7 @@
   TooLarge,   // The response exceeds a size limit.
   Malformed,  // The bytes are not an HTTP response.
   Cancelled,  // Cancelled through SendOptions::m_Cancellation.
+  Withheld,   // SendOptions::m_MaySend was false; no byte was sent.
 };
 // Returns the name used in logs and metrics.
 std::string_view httpFailureName(HttpFailure Value);
@@ -328,6 +329,10 @@
   // HttpClientLimits::m_MaxIdleTime applies.
   Duration m_MaxIdleTime{0};
   std::shared_ptr<Cancellation> m_Cancellation; // May be null.
+  // Asked when a new connection has been opened, as what the request was
+  // decided by may have changed meanwhile. If it returns false nothing is sent,
+  // and the connection is kept for later requests. If null, it may.
+  std::function<bool()> m_MaySend;
   // Returns whether a response belongs to the request. Other responses are
   // skipped. If null, every response does.
   std::function<bool(const HttpResponse &)> m_MatchesRequest;
@@ -399,6 +404,8 @@
   struct Exchange;
   asio::awaitable<ConnectionPtr> connect(std::string Address, Time Deadline,
                                          std::shared_ptr<Cancellation> Cancel);
+  // Keeps a connection that was opened and not used.
+  void keepUnused(const std::string &Address, ConnectionPtr Opened);
   ConnectionPtr takeIdleConnection(const std::string &Address,
                                    Duration MaxIdle);
   asio::awaitable<void> transfer(std::shared_ptr<Exchange> State);
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -18,8 +18,9 @@
 using asio::ip::tcp;
 using ResponseParser = http::response_parser<http::buffer_body>;
 
-constexpr std::array<std::string_view, 7> FailureNames{
-    "none", "connect", "cut", "timeout", "too_large", "malformed", "cancelled"};
+constexpr std::array<std::string_view, 8> FailureNames{
+    "none",      "connect",   "cut",       "timeout",
+    "too_large", "malformed", "cancelled", "withheld"};
 
 // Idle connections are not reused this close to the server's idle timeout,
 // because the server could close the connection while the request is sent.
@@ -317,16 +318,20 @@
   ConnectionPtr Opened = co_await connect(Address, Deadline, nullptr);
   if (!Opened)
     co_return false;
+  keepUnused(Address, std::move(Opened));
+  co_return true;
+}
+
+void HttpClient::keepUnused(const std::string &Address, ConnectionPtr Opened) {
   auto &Pooled = m_IdleConnections[Address];
   if (Pooled.size() >= m_Limits.m_MaxIdleConnectionsPerAddress)
-    co_return true;
+    return;
   auto Known = m_IdleTimeouts.find(Address);
   Opened->m_Stream.expires_never();
   Opened->m_IdleSince = now();
   Opened->m_IdleTimeout =
       Known == m_IdleTimeouts.end() ? m_Limits.m_MaxIdleTime : Known->second;
   Pooled.push_back(std::move(Opened));
-  co_return true;
 }
 
 bool HttpClient::hasIdleConnection(const std::string &Address,
@@ -384,6 +389,12 @@
     Result.m_Failure = HttpFailure::Connect;
     if (!Idle || Remaining <= Duration{0})
       break;
+    if (!Result.m_ReusedConnection && State->m_Options.m_MaySend &&
+        !State->m_Options.m_MaySend()) {
+      Result.m_Failure = HttpFailure::Withheld;
+      keepUnused(State->m_Address, std::move(Idle));
+      break;
+    }
     State->m_Connection = std::move(Idle);
     std::string PeerIp =
         State->m_Address.substr(0, State->m_Address.rfind(':'));
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "test/RawExchange.h"
+
 #include <doctest/doctest.h>
 
 using namespace rhubarb;
@@ -428,6 +430,45 @@
     }(Fixture));
   }
 
+  // Guards against requests that are sent although what they were decided by has
+  // changed while the connection was opened.
+  TEST_CASE("a request is withheld before its first byte") {
+    struct Row {
+      const char *m_Name;
+      bool m_MaySend;
+      HttpFailure m_Failure;
+      std::size_t m_Requests; // That reach the server.
+    };
+    const Row Rows[] = {
+        {"sent", true, HttpFailure::None, 1},
+        {"withheld", false, HttpFailure::Withheld, 0},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      HttpFixture Fixture;
+      tcp::acceptor Acceptor(Fixture.m_Io,
+                             {asio::ip::make_address("127.0.0.1"), 0});
+      test::RawAnswer Answer{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                             test::ConnectionEnd::Close};
+      Answer.m_Requests = std::make_shared<std::size_t>(0);
+      asio::co_spawn(Fixture.m_Io, test::acceptRaw(Acceptor, Answer),
+                     asio::detached);
+      Fixture.run([](HttpFixture &Of, std::string Address,
+                     Row Expected) -> asio::awaitable<void> {
+        SendOptions Options;
+        Options.m_MaySend = [&] { return Expected.m_MaySend; };
+        HttpRequest Request;
+        Request.m_Target = "/";
+        HttpResult Got =
+            co_await Of.m_Client.send(Address, Request, now() + 2s, Options);
+        CHECK(Got.m_Failure == Expected.m_Failure);
+        if (!Expected.m_MaySend) // The connection serves the next request.
+          CHECK(Of.m_Client.hasIdleConnection(Address, 0ms));
+      }(Fixture, test::addressOf(Acceptor), Case));
+      CHECK(*Answer.m_Requests == Case.m_Requests);
+    }
+  }
+
   TEST_CASE("responses do not mix after timeouts on reused connections") {
     HttpFixture Fixture;
     HttpServer Server(Fixture.m_Io, Fixture.m_Reach, HttpServerLimits{},
--- a/tools/rhubarb-entry/EntryDispatch.cpp
+++ b/tools/rhubarb-entry/EntryDispatch.cpp
@@ -201,6 +201,7 @@
                             AttemptStatus::Answered,
                             {}};
   case HttpFailure::Timeout:
+  case HttpFailure::Withheld:
   case HttpFailure::Cancelled: // Does not occur; no call here is cancelled.
     break;
   }
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -171,6 +171,8 @@
 // The outcome of an attempt and its consequences for the request.
 struct AttemptResult {
   AttemptReport m_Report;
+  // Nothing was sent, as a newer configuration decides the request otherwise.
+  bool m_IsWithheld = false;
   std::optional<HttpResponse> m_Response; // Final response to the caller.
   // Response to the caller if the request is not retried.
   std::optional<HttpResponse> m_FallbackResponse;
--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -131,6 +131,7 @@
   SendOptions Options;
   Work->m_AttemptCancellation = std::make_shared<Cancellation>();
   Options.m_Cancellation = Work->m_AttemptCancellation;
+  Options.m_MaySend = [this, Work] { return followsConfig(*Work); };
   Work->m_RequestCancellation->onCancel(
       [Token = Work->m_AttemptCancellation] { Token->cancel(); });
   co_return co_await m_DetourClient.send(
@@ -177,6 +178,8 @@
       break;
     Time SentAt = now();
     HttpResult Got = co_await sendDetour(Work, Vm);
+    if (Got.m_Failure == HttpFailure::Withheld)
+      co_return std::nullopt;
     std::optional<HttpResponse> Response;
     int Status = Got.m_Response.m_Status;
     std::string Reason(Got.m_Response.header("Rhubarb-Reason"));
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -214,6 +214,8 @@
     if (std::optional<HttpResponse> Refusal = refuseSuspect(*Work, true))
       co_return std::move(*Refusal);
     AttemptResult Attempt = co_await runAttempt(Work);
+    if (Attempt.m_IsWithheld)
+      continue;
     if (Attempt.m_Response) {
       logRequest(*Work, Attempt.m_Response->m_Status, "answered");
       co_return std::move(*Attempt.m_Response);
@@ -403,6 +405,7 @@
   Options.m_MatchesRequest = [Id, IdName](const HttpResponse &Response) {
     return Response.header(IdName) == Id;
   };
+  Options.m_MaySend = [this, Work] { return followsConfig(*Work); };
   HttpRequest Request = makeServerRequest(*Work);
   bool Streaming = Request.m_BodyStream != nullptr;
   ++Work->m_TotalAttempts;
@@ -412,6 +415,13 @@
       Server.m_Address, std::move(Request),
       Work->m_ExecutionDeadline + ResponseSlack, std::move(Options));
   m_RunningAttempts.erase(Listed);
+  if (Got.m_Failure == HttpFailure::Withheld) {
+    --Work->m_TotalAttempts;
+    m_Suspects.ended(Work->m_Fingerprint);
+    releaseServer(*Work);
+    Attempt.m_IsWithheld = true;
+    co_return Attempt;
+  }
   bool ConnectionCut = Got.m_Failure == HttpFailure::Incomplete;
   if (Got.m_Failure == HttpFailure::Cancelled &&
       !Work->m_RequestCancellation->cancelled())
@@ -535,6 +545,7 @@
     Attempt.m_Error = ErrorKind::ServerUnreachable;
     Attempt.m_RetryReason = RetryReason::ServerUnreachable;
     return;
+  case HttpFailure::Withheld: // Handled in runAttempt().
   case HttpFailure::Cancelled:
     Attempt.m_Report.m_Outcome = AttemptOutcome::Abandoned;
     Attempt.m_Error = ErrorKind::CallerGone;
