Soak: allowed regions change, and a check where requests run

The route gets short calls and calls of 4 s, of the least urgent class and with 8 s until their deadline, so that they queue for longer than a version takes to be in force. bootstrap=true lets VMs act as quota holders after 7 s instead of 30 s: without it the limited organisation's calls all get quota_unavailable ("at most 0 runs in 5 s"), as in soak.organisations.

RegionCheck asks of each run that a version allows its region which was in force from the bound before it arrived at the server up to the run, and the same from the bound before it was sent, for the region of the VM that passed it on.

404 without a route counts as answered before the check of the key, as docs/design/hard-load.md says; without a reason for it callers still report it as "denied".

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -64,6 +64,7 @@
     {"config_storm", FaultTarget::Operator},
     {"evacuate", FaultTarget::Operator},
     {"keys", FaultTarget::Operator},
+    {"regions", FaultTarget::Operator},
 };
 
 // Mean time between the starts of two faults.
@@ -101,7 +102,9 @@
                                       bool HasOrganisations) {
   std::vector<std::string> All = faultNames();
   if (!HasOrganisations)
-    std::erase(All, "keys");
+    std::erase_if(All, [](const std::string &Name) {
+      return Name == "keys" || Name == "regions";
+    });
   if (List == "all")
     return All;
   if (List == "none")
@@ -403,6 +406,8 @@
     m_Site.changeConfig();
   } else if (Name == "keys") {
     m_Site.changeKeys();
+  } else if (Name == "regions") {
+    m_Site.changeRegions();
   } else if (Name == "config_storm") {
     for (int I = 0; I < 10; ++I) {
       m_Site.changeConfig();
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -11,8 +11,8 @@
 
 std::vector<std::string> faultNames();
 // Parses a choice of faults: names separated by commas, "none" or "all". Exits
-// the program with an error message if a name is unknown. "keys" is unknown
-// without organisations.
+// the program with an error message if a name is unknown. "keys" and "regions"
+// are unknown without organisations.
 std::vector<std::string> chooseFaults(const std::string &List,
                                       bool HasOrganisations);
 
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -50,7 +50,8 @@
     "  --long-rate=N     The same as --rate for calls that run for seconds\n"
     "                    [default: 0].\n"
     "  --organisations=N  Organisations with API keys; with 0 callers need no\n"
-    "                    key and there is no fault keys [default: 0].\n"
+    "                    key, and the faults keys and regions do not exist\n"
+    "                    [default: 0].\n"
     "  --list            List the faults.\n"
     "  -h --help         Show this text.\n\n"
     "Exit codes: 0 all guarantees held, 1 a guarantee was violated,\n"
@@ -136,6 +137,9 @@
       static_cast<int>(parseInteger(Arguments.value("--organisations"), 0));
   Plan.m_Faults = soak::chooseFaults(Arguments.value("--faults"),
                                      Settings.m_Organisations > 0);
+  Settings.m_MovesRegions =
+      std::find(Plan.m_Faults.begin(), Plan.m_Faults.end(), "regions") !=
+      Plan.m_Faults.end();
   Settings.m_Seed =
       static_cast<std::uint64_t>(parseInteger(Arguments.value("--seed"), 1));
   Settings.m_AddressPrefix = Arguments.value("--net");
--- a/standins/site/Callers.h
+++ b/standins/site/Callers.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "standins/site/OrganisationCheck.h"
+#include "standins/site/RegionCheck.h"
 #include "standins/site/Servers.h"
 
 #include <vector>
@@ -34,6 +35,7 @@
   std::vector<CallClass> m_Classes;
   // Adds API keys to the calls; never null.
   OrganisationCheck *m_Organisations = nullptr;
+  RegionCheck *m_Regions = nullptr; // Never null.
 };
 
 // Numbers of calls by outcome.
--- a/standins/site/OrganisationCheck.h
+++ b/standins/site/OrganisationCheck.h
@@ -14,6 +14,8 @@
 // Equals bounds.quota_slack in Site::nodeSettings().
 inline constexpr int QuotaSlack = 20;
 
+std::string organisationName(int Organisation);
+
 class OrganisationCheck {
 public:
   // The first organisation has a low rate, the second may use region "a" only.
--- a/standins/site/Servers.cpp
+++ b/standins/site/Servers.cpp
@@ -216,8 +216,9 @@
 // response.
 asio::awaitable<HttpResponse> SiteServer::run(HttpRequest Request,
                                               std::string RequestId) {
-  Time Deadline = now() + std::chrono::milliseconds(parseInteger(
-                              Request.header(m_Names.m_Deadline), 30000));
+  Time ArrivedAt = now();
+  Time Deadline = ArrivedAt + std::chrono::milliseconds(parseInteger(
+                                  Request.header(m_Names.m_Deadline), 30000));
   ++m_Waiting;
   while (m_Busy >= m_Profile.m_Slots) {
     co_await sleepFor(QueuePollInterval);
@@ -234,7 +235,7 @@
   Record.m_Method = Request.m_Method;
   Record.m_LastRun = now();
   if (m_OnRun)
-    m_OnRun(Request, RequestId);
+    m_OnRun(Request, RequestId, ArrivedAt);
   if (m_OnDeadlyRun && Request.m_Target.find(DeadlyTarget) != std::string::npos)
     m_OnDeadlyRun();
   std::string Object(Request.header("Cookie"));
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -29,6 +29,9 @@
 // Equals bounds.grace in nodeSettings().
 constexpr Duration GracePeriod = 6s;
 constexpr const char *FillerKey = "other/filler";
+// Rate of the calls that run for seconds on the route whose allowed regions
+// change, as a share of the rate of the other classes.
+constexpr double LongRegionShare = 0.12;
 
 std::string storeIp(const SiteSettings &Settings) {
   return Settings.m_AddressPrefix + ".250.1";
@@ -59,7 +62,8 @@
 Site::Site(asio::io_context &Io, SiteSettings Settings)
     : m_Io(Io), m_Settings(std::move(Settings)),
       m_Organisations(m_Settings.m_Organisations, m_Settings.m_Seed + 3),
-      m_Store(Io, m_Settings.m_Seed), m_Random(m_Settings.m_Seed + 2) {
+      m_Regions(m_Settings.m_Seed + 4), m_Store(Io, m_Settings.m_Seed),
+      m_Random(m_Settings.m_Seed + 2) {
   CallerSettings Callers;
   Callers.m_Host = Host;
   Callers.m_Domains = m_Settings.m_Domains;
@@ -77,7 +81,15 @@
   if (m_Organisations.enabled())
     Callers.m_Classes.push_back(
         {std::string(PublicPrefix), "GET", true, Rate, 3s, 20, 0});
+  if (m_Settings.m_MovesRegions) {
+    Callers.m_Classes.push_back(
+        {std::string(RegionPrefix), "POST", false, Rate, 8s, 20, 300});
+    // They run for seconds, so that others wait where few servers are allowed.
+    Callers.m_Classes.push_back({std::string(RegionPrefix) + "long/", "POST",
+                                 false, Rate * LongRegionShare, 8s, 20, 300});
+  }
   Callers.m_Organisations = &m_Organisations;
+  Callers.m_Regions = &m_Regions;
   m_Callers = std::make_unique<SiteCallers>(Io, m_Records, std::move(Callers),
                                             m_Settings.m_Seed + 1);
 }
@@ -135,17 +147,20 @@
     spawn(m_Io, crashForAWhile(Index));
   });
   if (m_Organisations.enabled())
-    m_Servers.back()->onRun(
-        [this, Domain](const HttpRequest &Request, const std::string &Id) {
-          // The third number of a VM's address is that of its domain, from 1.
-          std::string VmIp =
-              Request.m_PeerIp.substr(0, Request.m_PeerIp.rfind('.'));
-          auto Vm = static_cast<std::size_t>(
-              parseInteger(VmIp.substr(VmIp.rfind('.') + 1), 1) - 1);
-          m_Organisations.recordRun(
-              Request, Id, m_Settings.m_RegionOf.at(Domain),
-              m_Settings.m_RegionOf.at(m_Settings.m_Domains.at(Vm)), now());
-        });
+    m_Servers.back()->onRun([this, Domain](const HttpRequest &Request,
+                                           const std::string &Id,
+                                           Time ArrivedAt) {
+      // The third number of a VM's address is that of its domain, from 1.
+      std::string VmIp =
+          Request.m_PeerIp.substr(0, Request.m_PeerIp.rfind('.'));
+      auto Vm = static_cast<std::size_t>(
+          parseInteger(VmIp.substr(VmIp.rfind('.') + 1), 1) - 1);
+      const std::string &Region = m_Settings.m_RegionOf.at(Domain);
+      const std::string &VmRegion =
+          m_Settings.m_RegionOf.at(m_Settings.m_Domains.at(Vm));
+      m_Organisations.recordRun(Request, Id, Region, VmRegion, now());
+      m_Regions.recordRun(Request, Id, Region, VmRegion, ArrivedAt, now());
+    });
   Bound = m_Servers.back()->start();
   if (!Bound)
     return Bound.error();
@@ -189,6 +204,18 @@
     Entry["paths"].append(Open);
     Json["tenants"] = m_Organisations.tenants();
   }
+  if (m_Settings.m_MovesRegions) {
+    Json["tenants"][RegionOrganisation]["allowed_regions"] =
+        m_Regions.organisationRegions();
+    // Its requests may wait for longer than a version takes to be in force.
+    Json::Value Local =
+        makeRoute("local", RegionPrefix.data(), false, 4, Services[0]);
+    Local["timeout"] = "8000ms";
+    Local["target_latency"] = "6000ms";
+    Local["allowed_regions"] = m_Regions.routeRegions();
+    if (m_Regions.hasRoute())
+      Entry["paths"].append(Local);
+  }
   Json["virtual_hosts"].append(Entry);
   return compactJson(Json);
 }
@@ -205,9 +232,16 @@
   writeConfig();
 }
 
+void Site::changeRegions() {
+  m_Version += 2;
+  m_Regions.change();
+  writeConfig();
+}
+
 void Site::writeConfig() {
   m_Store.put(platform::ConfigKey, configText());
   m_ConfigHistory.emplace_back(now(), Services[m_RouteMoved ? 0 : 1]);
+  m_Regions.recordVersion(now());
 }
 
 void Site::setEvacuated(const std::string &Domain, bool Evacuated) {
@@ -385,6 +419,9 @@
           std::to_string(StoreProxyPort) + "\nprovider.ttl_min=1000ms\n";
   if (m_Organisations.enabled())
     Text += "bounds.quota_slack=" + std::to_string(QuotaSlack) + "\n";
+  // Quotas need VMs that act as holders soon after their start.
+  if (m_Settings.m_MovesRegions)
+    Text += "bootstrap=true\n";
   return Text;
 }
 
@@ -544,6 +581,12 @@
   verifyEvacuations(Violations);
   for (std::string &Text : m_Organisations.violations())
     Violations.push_back(std::move(Text));
+  if (m_Settings.m_MovesRegions)
+    for (std::string &Text :
+         m_Regions.violations(ConfigBound, [this](Time From, Time Until) {
+           return overlapsDisturbance(From, Until);
+         }))
+      Violations.push_back(std::move(Text));
   for (const auto &Server : m_Servers)
     for (Time At : Server->lateArrivals(DrainBound))
       if (!overlapsDisturbance(Server->withdrawnAt(), At))
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -27,6 +27,8 @@
   std::uint64_t m_Seed = 1;
   // Organisations with API keys; 0: callers need no key.
   int m_Organisations = 0;
+  // Adds the route of changeRegions() and calls for it. Needs organisations.
+  bool m_MovesRegions = false;
 };
 
 // Time bounds of the system. DrainBound and ConfigBound equal bounds.drain and
@@ -65,6 +67,8 @@
   void changeConfig();
   // Publishes a new configuration version with a key withdrawn and one added.
   void changeKeys();
+  // Publishes a new configuration version with other allowed regions.
+  void changeRegions();
   void setEvacuated(const std::string &Domain, bool Evacuated);
   // Restores the store from a copy. What the copy lacks, or has though it is
   // gone, is written again by operator and servers within RewriteTime.
@@ -133,6 +137,7 @@
   SiteSettings m_Settings;
   RunRecords m_Records;
   OrganisationCheck m_Organisations;
+  RegionCheck m_Regions;
   KvStore m_Store;
   std::unique_ptr<FaultProxy> m_StoreProxy;
   std::vector<std::unique_ptr<FaultProxy>> m_ServerProxies;
