Soak: long configurations over narrow links

The bound for a version to be in force is a setting of the site: 4 s with long configurations, the users' config_apply at 10 Mbit/s, 2.5 s without.

--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -24,6 +24,7 @@
     "               [--served=PERCENT] [--refused=PERCENT]\n"
     "               [--limit-use=PERCENT] [--long-rate=N]\n"
     "               [--organisations=N] [--node-before=FILE]\n"
+    "               [--config-routes=N] [--store-kbps=N]\n"
     "  rhubarb-soak --list\n"
     "  rhubarb-soak (-h | --help)\n\n"
     "Options:\n"
@@ -52,6 +53,12 @@
     "  --organisations=N  Organisations with API keys; with 0 callers need no\n"
     "                    key, and the faults keys and regions do not exist\n"
     "                    [default: 0].\n"
+    "  --config-routes=N  Routes without traffic in each configuration. The\n"
+    "                    bound for it to be in force is 4 s instead of 2.5 s "
+    "if\n"
+    "                    there are any [default: 0].\n"
+    "  --store-kbps=N    Kilobits a second from the store to each node; 0: no\n"
+    "                    limit [default: 0].\n"
     "  --list            List the faults.\n"
     "  -h --help         Show this text.\n\n"
     "Exit codes: 0 all guarantees held, 1 a guarantee was violated,\n"
@@ -149,6 +156,12 @@
       static_cast<double>(parseInteger(Arguments.value("--rate"), 15));
   Settings.m_LongCallsPerSecond =
       static_cast<double>(parseInteger(Arguments.value("--long-rate"), 0));
+  Settings.m_ExtraRoutes =
+      static_cast<int>(parseInteger(Arguments.value("--config-routes"), 0));
+  if (Settings.m_ExtraRoutes > 0)
+    Settings.m_ConfigBound = site::LongConfigBound;
+  Settings.m_StoreKbps =
+      static_cast<double>(parseInteger(Arguments.value("--store-kbps"), 0));
   asio::io_context Io{1};
   site::Site Deployment(Io, Settings);
   Result<int> Started = Deployment.start();
--- a/standins/site/Proxy.cpp
+++ b/standins/site/Proxy.cpp
@@ -1,5 +1,6 @@
 #include "standins/site/Proxy.h"
 
+#include "net/Clock.h"
 #include "net/Daemon.h"
 #include "net/Log.h"
 
@@ -93,6 +94,15 @@
   co_await pump(Proxied, true);
 }
 
+asio::awaitable<void> FaultProxy::waitForLink(const std::string &CallerIp,
+                                              std::size_t Bytes) {
+  Time &FreeAt = m_LinkFreeAt[CallerIp];
+  FreeAt =
+      std::max(FreeAt, now()) + Duration(static_cast<std::int64_t>(
+                                    static_cast<double>(Bytes) / m_Rate * 1e6));
+  co_await sleepFor(FreeAt - now());
+}
+
 asio::awaitable<void> FaultProxy::pump(ConnectionPtr Proxied, bool Forward) {
   tcp::socket &From = Forward ? Proxied->m_Caller : Proxied->m_Target;
   tcp::socket &To = Forward ? Proxied->m_Target : Proxied->m_Caller;
@@ -109,6 +119,8 @@
       continue;
     if (m_Faults.m_Delay.count() > 0)
       co_await sleepFor(m_Faults.m_Delay);
+    if (!Forward && m_Rate > 0)
+      co_await waitForLink(Proxied->m_CallerIp, Bytes);
     if (Forward ? m_Faults.m_DropToTarget : m_Faults.m_DropToCaller)
       continue;
     auto [WriteError, Written] = co_await asio::async_write(
--- a/standins/site/Proxy.h
+++ b/standins/site/Proxy.h
@@ -35,6 +35,8 @@
   FaultProxy(asio::io_context &Io, std::string Target);
   Result<std::uint16_t> start(const std::string &Ip, std::uint16_t Port);
   void setFaults(ProxyFaults Faults) { m_Faults = Faults; }
+  // Limits the bytes per second towards each IP address of callers; 0: none.
+  void setRatePerCaller(double BytesPerSecond) { m_Rate = BytesPerSecond; }
   void resetOpenConnections();
   // Refuses connections and ends the open ones, as if the target's process had
   // ended, or accepts connections again.
@@ -51,6 +53,9 @@
   static void close(Connection &Proxied);
   asio::awaitable<void> acceptLoop();
   asio::awaitable<void> serve(ConnectionPtr Proxied);
+  // Waits until the link towards a caller has carried some bytes more.
+  asio::awaitable<void> waitForLink(const std::string &CallerIp,
+                                    std::size_t Bytes);
   asio::awaitable<void> pump(ConnectionPtr Proxied, bool Forward);
 
   asio::io_context &m_Io;
@@ -63,6 +68,10 @@
 
   ProxyFaults m_Faults;
   std::map<std::string, LinkCut> m_Cuts; // By the caller's IP address.
+  double m_Rate = 0;
+  // When the link towards a caller has carried what it was given, by the
+  // caller's IP address.
+  std::map<std::string, Time> m_LinkFreeAt;
 };
 
 } // namespace rhubarb::site
