Soak: rows for moved regions and for long configurations

The regions fault draws a single region more often: only a move leaves no region that a replaced version allows too.

--- a/standins/site/RegionCheck.cpp
+++ b/standins/site/RegionCheck.cpp
@@ -30,7 +30,9 @@
 } // namespace
 
 RegionCheck::Regions RegionCheck::drawOther(const Regions &Current) {
-  static const std::vector<Regions> Choices{{"a"}, {"b"}, {"a", "b"}, {}};
+  // Only a move leaves no region that a replaced version allows too.
+  static const std::vector<Regions> Choices{{"a"}, {"b"},      {"a"},
+                                            {"b"}, {"a", "b"}, {}};
   for (;;)
     if (const Regions &Drawn = Choices[m_Random.below(Choices.size())];
         Drawn != Current)
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -31,7 +31,7 @@
 constexpr const char *FillerKey = "other/filler";
 // Rate of the calls that run for seconds on the route whose allowed regions
 // change, as a share of the rate of the other classes.
-constexpr double LongRegionShare = 0.12;
+constexpr double LongRegionShare = 0.2;
 
 std::string storeIp(const SiteSettings &Settings) {
   return Settings.m_AddressPrefix + ".250.1";
