Requests decided again: they keep their place, and attempts made still count

A version that changed a queued request's timeout, priority, objective or attempts took it out of the queue and admitted it anew: the predicted wait counted from now, the time waited counted against it, so callers got wait_too_long though the slot was about to be free. Now Dispatcher::updateQueued replaces the queued copy in place, by priority and then arrival; processQueue decides at once, so what has no server left is refused and what a wider version allows is sent. A refusal was logged and counted although the caller got the server's own answer.

--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -158,6 +158,11 @@
   // Moves the deadlines of queued requests to a time at the latest, so that
   // those that would not end by then are refused.
   void limitQueuedDeadlines(Time Latest);
+  // Replaces queued requests that the hook returns, and keeps the others. Those
+  // that are replaced keep their time of arrival and are not admitted again.
+  void updateQueued(
+      const std::function<std::optional<DispatchRequest>(RequestId)> &Hook,
+      Time Now);
   // Removes a queued request whose caller has disconnected.
   bool cancel(RequestId Id);
   // Records that a request was sent as decided.
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -762,6 +762,29 @@
     Request.m_Deadline = std::min(Request.m_Deadline, Latest);
 }
 
+void Dispatcher::updateQueued(
+    const std::function<std::optional<DispatchRequest>(RequestId)> &Hook,
+    Time Now) {
+  m_PoolSnapshots.clear();
+  for (DispatchRequest &Queued : m_Queue) {
+    std::optional<DispatchRequest> Next = Hook(Queued.m_Id);
+    if (!Next)
+      continue;
+    recordDequeued(Queued);
+    Next->m_PreferredServer = Queued.m_PreferredServer;
+    std::vector<Candidate> Ranked = rankedCandidates(*Next, Now);
+    if (!Ranked.empty())
+      Next->m_PreferredServer = Ranked.front().m_Server;
+    Queued = std::move(*Next);
+    ++m_QueuedFor[Queued.m_PreferredServer][priorityClass(Queued.m_Priority)];
+    m_WaitEstimator.recordQueued(Queued.m_Pool, Queued.m_Priority);
+  }
+  std::stable_sort(m_Queue.begin(), m_Queue.end(),
+                   [](const DispatchRequest &A, const DispatchRequest &B) {
+                     return A.m_Priority < B.m_Priority;
+                   });
+}
+
 bool Dispatcher::cancel(RequestId Id) {
   return std::erase_if(m_Queue, [&](const DispatchRequest &Queued) {
            if (Queued.m_Id != Id)
--- a/test/HttpTest.cpp
+++ b/test/HttpTest.cpp
@@ -430,8 +430,8 @@
     }(Fixture));
   }
 
-  // Guards against requests that are sent although what they were decided by has
-  // changed while the connection was opened.
+  // Guards against requests that are sent although what they were decided by
+  // has changed while the connection was opened.
   TEST_CASE("a request is withheld before its first byte") {
     struct Row {
       const char *m_Name;
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -335,8 +335,8 @@
   m_DetourServer.setLimits(Limits);
   m_AppliedListChanges = 0; // Pools of servers may have changed.
   configureQuotas();
-  recheckWaiting();
   applyList();
+  recheckWaiting();
 }
 
 void Node::applyList() {
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -292,13 +292,16 @@
   // Whether the configuration in force decides as the one that has decided the
   // request last.
   bool followsConfig(Exchange &Work) const;
-  // Decides a request by the configuration in force. Returns the refusal of one
-  // that it does not allow.
-  std::optional<HttpResponse> applyPolicy(Exchange &Work);
+  // Decides a request by the configuration in force. Returns why it is refused,
+  // or None.
+  ErrorKind applyPolicy(Exchange &Work);
+  // Whether a request may be sent to a server once more.
+  static bool mayRepeat(const Exchange &Work);
   // Sets what the dispatcher decides by. The pool of a request that is decided
   // again stays if its route still uses it.
   void setDispatch(Exchange &Work, const Route &Matched);
-  // Wakes the waiting requests that a new configuration decides differently.
+  // Decides waiting requests again. Queued ones keep their place; those that
+  // are refused now, or belong to another organisation, are woken.
   void recheckWaiting();
 
   // --- Organisations and API keys (NodeOrganisations.cpp)
@@ -318,6 +321,8 @@
   // Keeps a request from servers at which other suspects run, so that a crash
   // tells which of them caused it.
   void excludeServersOfSuspects(Exchange &Work) const;
+  // Ends a request with the result of its last attempt.
+  HttpResponse endWithLast(const Exchange &Work, AttemptResult &Last);
   // Gives back the server that a request was assigned but not sent to.
   void releaseServer(const Exchange &Work);
   // Returns the refusal of a request that may crash servers, if it must not be
--- a/tools/rhubarb-node/NodePolicy.cpp
+++ b/tools/rhubarb-node/NodePolicy.cpp
@@ -46,25 +46,23 @@
   return true;
 }
 
-std::optional<HttpResponse> Node::applyPolicy(Exchange &Work) {
+ErrorKind Node::applyPolicy(Exchange &Work) {
   bool IsNew = Work.m_ConfigRevision == 0;
   std::uint64_t Before = Work.m_ConfigRevision;
   Result<FoundPolicy> Found = findPolicy(Work);
+  ErrorKind Kind = Found ? ErrorKind::None : Found.error().m_Kind;
   Work.m_ConfigRevision = revision();
   if (!IsNew) {
-    ErrorKind Kind = Found ? ErrorKind::None : Found.error().m_Kind;
-    m_Metrics.count("rhubarb_requests_redecided_total",
-                    {{"outcome", std::string(errorInfo(Kind).m_Name)}});
+    std::string Outcome(errorInfo(Kind).m_Name);
+    m_Metrics.count("rhubarb_requests_redecided_total", {{"outcome", Outcome}});
     logEvent(Severity::Info, "request_redecided",
              {{"id", Work.m_TraceId},
               {"before", std::to_string(Before)},
               {"config", std::to_string(Work.m_ConfigRevision)},
-              {"outcome", std::string(errorInfo(Kind).m_Name)}});
-  }
-  if (!Found) {
-    Work.m_Decision.m_Action = DispatchAction::Refuse;
-    return makeRefusal(Work, Found.error().m_Kind, Duration{0});
+              {"outcome", Outcome}});
   }
+  if (!Found)
+    return Kind;
   RequestPolicy &Next = Found.value().m_Policy;
   if (!IsNew && Next.m_Organisation != Work.m_Organisation) {
     giveBackQuotaToken(Work);
@@ -78,7 +76,12 @@
   Work.m_MaxAttempts = std::min(Work.m_AttemptLimit, Next.m_MaxAttempts);
   Work.m_Policy = std::move(Next);
   setDispatch(Work, *Found.value().m_Route);
-  return std::nullopt;
+  return ErrorKind::None;
+}
+
+bool Node::mayRepeat(const Exchange &Work) {
+  return (!Work.m_MayHaveRun || Work.m_Idempotent) &&
+         Work.m_DeliveredAttempts < Work.m_MaxAttempts;
 }
 
 void Node::setDispatch(Exchange &Work, const Route &Matched) {
@@ -113,27 +116,37 @@
 }
 
 void Node::recheckWaiting() {
-  // Those that have waited longest are decided first.
-  std::vector<ExchangePtr> Changed;
-  for (const auto &[Id, Work] : m_QueuedExchanges)
-    if (!followsConfig(*Work))
-      Changed.push_back(Work);
-  std::sort(Changed.begin(), Changed.end(),
-            [](const ExchangePtr &A, const ExchangePtr &B) {
-              return A->m_Dispatch.m_Id < B->m_Dispatch.m_Id;
-            });
-  for (const ExchangePtr &Work : Changed) {
+  auto IsRefused = [this](const Exchange &Work) {
+    Result<FoundPolicy> Found = findPolicy(Work);
+    return !Found ||
+           Found.value().m_Policy.m_Organisation != Work.m_Organisation;
+  };
+  m_Dispatcher.updateQueued(
+      [&](RequestId Id) -> std::optional<DispatchRequest> {
+        auto Queued = m_QueuedExchanges.find(Id);
+        if (Queued == m_QueuedExchanges.end() ||
+            followsConfig(*Queued->second) || IsRefused(*Queued->second))
+          return std::nullopt;
+        applyPolicy(*Queued->second);
+        return Queued->second->m_Dispatch;
+      },
+      now());
+  for (auto Queued = m_QueuedExchanges.begin();
+       Queued != m_QueuedExchanges.end();) {
+    ExchangePtr Work = Queued->second;
+    if (Work->m_ConfigRevision == revision()) {
+      ++Queued;
+      continue;
+    }
     m_Dispatcher.cancel(Work->m_Dispatch.m_Id);
-    m_QueuedExchanges.erase(Work->m_Dispatch.m_Id);
     Work->m_Decision = DispatchDecision{};
     Work->m_QueueTimer->cancel();
+    Queued = m_QueuedExchanges.erase(Queued);
   }
   for (auto Waiting = m_QuotaWaiting.begin();
        Waiting != m_QuotaWaiting.end();) {
     ExchangePtr Work = Waiting->second;
-    Result<FoundPolicy> Found = findPolicy(*Work);
-    if (Found &&
-        Found.value().m_Policy.m_Organisation == Work->m_Organisation) {
+    if (!IsRefused(*Work)) {
       ++Waiting;
       continue;
     }
@@ -141,6 +154,7 @@
     Work->m_QuotaTimer->cancel();
     Waiting = m_QuotaWaiting.erase(Waiting);
   }
+  processQueue();
 }
 
 } // namespace rhubarb::node
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -121,8 +121,8 @@
       Item.m_ArrivedAt + (Millis >= 0
                               ? Duration(std::chrono::milliseconds(Millis))
                               : DefaultDeadline);
-  if (std::optional<HttpResponse> Refusal = applyPolicy(*Work))
-    co_return std::move(*Refusal);
+  if (ErrorKind Kind = applyPolicy(*Work); Kind != ErrorKind::None)
+    co_return makeRefusal(*Work, Kind, Duration{0});
   // Another VM can answer what would still be running at the end.
   if (m_Leaving && !m_Dispatcher.endsBy(Item, stopTime(), Item.m_ArrivedAt))
     co_return makeRefusal(*Work, ErrorKind::Leaving, LeavingRetryAfter);
@@ -166,11 +166,17 @@
       Work->m_Decision.m_Action = DispatchAction::Refuse;
       co_return makeRefusal(*Work, ErrorKind::CallerGone, Duration{0});
     }
-    if (!followsConfig(*Work))
-      if (std::optional<HttpResponse> Refusal = applyPolicy(*Work))
-        co_return Last && Last->m_FallbackResponse
-            ? std::move(*Last->m_FallbackResponse)
-            : std::move(*Refusal);
+    if (!followsConfig(*Work)) {
+      ErrorKind Kind = applyPolicy(*Work);
+      bool Ends = Kind != ErrorKind::None ? Last && Last->m_FallbackResponse
+                                          : Last && !mayRepeat(*Work);
+      if (Ends)
+        co_return endWithLast(*Work, *Last);
+      if (Kind != ErrorKind::None) {
+        Work->m_Decision.m_Action = DispatchAction::Refuse;
+        co_return makeRefusal(*Work, Kind, Duration{0});
+      }
+    }
     if (!Work->m_QuotaAdmitted) {
       if (std::optional<HttpResponse> Refusal = co_await admitByQuota(Work))
         co_return std::move(*Refusal);
@@ -226,17 +232,19 @@
       if (Attempt.m_Error == ErrorKind::ServerUnreachable && mayDetour(*Work))
         if (std::optional<HttpResponse> Response = co_await detour(Work))
           co_return std::move(*Response);
-      if (Attempt.m_FallbackResponse) {
-        logRequest(*Work, Attempt.m_FallbackResponse->m_Status,
-                   "server_failed");
-        co_return std::move(*Attempt.m_FallbackResponse);
-      }
-      co_return makeRefusal(*Work, Attempt.m_Error, AfterAttemptRetryAfter);
+      co_return endWithLast(*Work, Attempt);
     }
     Last = std::move(Attempt);
   }
 }
 
+HttpResponse Node::endWithLast(const Exchange &Work, AttemptResult &Last) {
+  if (!Last.m_FallbackResponse)
+    return makeRefusal(Work, Last.m_Error, AfterAttemptRetryAfter);
+  logRequest(Work, Last.m_FallbackResponse->m_Status, "server_failed");
+  return std::move(*Last.m_FallbackResponse);
+}
+
 void Node::excludeServersOfSuspects(Exchange &Work) const {
   for (const auto &[Index, Other] : m_RunningAttempts)
     if (Other->m_Fingerprint != Work.m_Fingerprint &&
