--- a/test/StoreTransferTest.cpp
+++ b/test/StoreTransferTest.cpp
@@ -329,7 +329,7 @@
           bool IsTaken = End.m_Status == StoreStatus::Ok;
           CHECK_FALSE(IsTaken);
           // A watch goes on from the range, which has each value once.
-          if (Kind == Framing::Length)
+          if (Kind == Framing::Chunks)
             CHECK(storeStatusName(End.m_Status) ==
                   (Call == StoreCall::Watch ? "history_gone" : "lost"));
           CHECK(End.m_Took < Case.m_EndsBefore);
