--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -27,6 +27,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <limits>
 #include <set>
 #include <unordered_map>
 
@@ -106,6 +107,9 @@
   std::vector<std::string> m_ServerPrefixes;
 };
 
+// A server may respond at the very end of its deadline.
+inline constexpr Duration ResponseSlack = 40ms;
+
 // A request in progress.
 struct Exchange {
   DispatchRequest m_Dispatch;
--- a/tools/rhubarb-node/NodePolicy.cpp
+++ b/tools/rhubarb-node/NodePolicy.cpp
@@ -12,8 +12,6 @@
 namespace rhubarb::node {
 namespace {
 
-// A server may respond at the very end of its deadline.
-constexpr Duration ResponseSlack = 40ms;
 // An attempt that started in time may end this much after its route's timeout:
 // a late response is worth more to the caller than none.
 constexpr Duration TimeoutGrace = 200ms;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -20,8 +20,6 @@
 
 // Requests that state no deadline get this one.
 constexpr Duration DefaultDeadline = 30s;
-// A server may respond at the very end of its deadline.
-constexpr Duration ResponseSlack = 40ms;
 // Requests that arrive later during shutdown could not finish in time.
 constexpr Duration ServeWhileLeaving = 2500ms;
 constexpr Duration LeavingRetryAfter = 50ms;
