Servers: a planned end of a connection waits for its reader first

Cause: endsPlanned() finds that nothing more has arrived while the reader waits for room; the response's lingering close then reads, and the reader wakes and reads as well. Without assertions two reads share the socket.

Change: a planned end stops the reader and waits for it, as every other end does.

--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -381,6 +381,12 @@
   bool EndsPlanned = false;
   if (!Closes && m_Server.isStopping())
     EndsPlanned = co_await endsPlanned();
+  // The reader may be waiting to read on, but the connection's end reads as
+  // well.
+  if (EndsPlanned)
+    stopReading();
+  while (EndsPlanned && m_IsReading)
+    co_await waitForChange();
   bool IsLast = m_Entries.size() == 1;
   bool KeepAlive = !Closes && !EndsPlanned && !(m_StopReading && IsLast);
   // The client may still be sending, which requires a lingering close.
