Read the range once a watch has two versions of the configuration

Cause: a watch brings every version since its position. On a link of 10 Mbit/s a version of 1.1 MB takes about a second; where versions follow each other faster than that, the next watch has two, the one after it three, and a VM never gets to the newest. Class: work that grows with the delay that it causes.

Change: the answer to a watch of the operators' keys may be 1.5 times as long as the newest configuration that was read, plus 64 KB. A longer one ends with its header (or, in chunks, at that length), and the range, which has the newest version only, is read without a pause.

Why it works: the newest version is behind at most one transfer that had begun, so it is in force within two transfers, whatever the number of versions.

Cost: where a configuration grows by half at once a watch is ended and followed by a range, one round trip more.

--- a/net/Crypto.h
+++ b/net/Crypto.h
@@ -12,6 +12,10 @@
 std::uint64_t randomBits();
 // Returns 16 random hexadecimal digits.
 std::string randomId();
+// Returns the length of bytes in base64 with padding.
+constexpr std::size_t base64Length(std::size_t Bytes) {
+  return (Bytes + 2) / 3 * 4;
+}
 // Encodes bytes as base64 with padding.
 std::string encodeBase64(std::string_view Bytes);
 // Decodes base64. Returns an error if Text is not valid base64.
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -528,7 +528,8 @@
   int Interim = 0;
   for (;;) {
     ResponseParser &Parser = State->m_Parser.emplace();
-    Parser.body_limit(m_Limits.m_MaxBodyBytes);
+    Parser.body_limit(
+        std::min(m_Limits.m_MaxBodyBytes, State->m_Options.m_MaxBodyBytes));
     Parser.skip(State->m_IsHead);
     auto Error =
         co_await readHead(Stream, Buffer, Parser, Result.m_ReceivedBytes);
