Evacuations: one that is written again after a restore counts in a whole read

What callers would see: requests keep going to a failure domain that the operators have evacuated again, for up to 3 s after they wrote it.

Cause: after a restore, a VM keeps what it knew where the store contradicts it: an evacuation that had ended, and that the older copy lists, does not begin again. The next whole read kept it too, without a look at the position, though the operators had written it anew since. A watch applies such a write at once.

Change: only what was written up to the whole read before is kept.

Test: a row in unit.restore ("ended, and begun again before a whole read"), failed before: the domain was not evacuated at once.

--- a/lib/Evacuations.cpp
+++ b/lib/Evacuations.cpp
@@ -31,7 +31,7 @@
     bool Ended = Restored && !Known.contains(Domain) &&
                  WrittenAt.m_Revision <= KnownAt.m_Revision;
     bool StillKept = !Restored && Keeps && m_Kept.contains(Domain) &&
-                     !m_Domains.contains(Domain);
+                     !m_Domains.contains(Domain) && WrittenAt <= m_LastChange;
     if (Ended || StillKept)
       Kept[Domain] = true;
     else
--- a/test/RestoreTest.cpp
+++ b/test/RestoreTest.cpp
@@ -385,6 +385,14 @@
          {"z"},
          {"z"}},
         {"the same", {"z"}, {{"z", {2, 40}}}, Nothing, {"z"}, {"z"}},
+        {"ended, and begun again before a whole read",
+         {},
+         {{"z", {2, 40}}},
+         [](EvacuationTable &T) {
+           T.replace({{"z", {2, 58}}}, {2, 60}, T.domains(), {2, 57}, 10s, 11s);
+         },
+         {"z"},
+         {"z"}},
         {"a whole read follows",
          {"z"},
          {},
