--- a/net/Http.h
+++ b/net/Http.h
@@ -347,6 +347,7 @@
   // HttpClientLimits::m_MaxBodyBytes it limits how long a response can take. 0:
   // any byte moves the deadline.
   std::size_t m_MinBytesPerSecond = 0;
+  // A longer body ends the call as HttpFailure::TooLarge.
   // HttpClientLimits::m_MaxBodyBytes holds as well.
   std::size_t m_MaxBodyBytes = std::numeric_limits<std::size_t>::max();
 };
