Soak: a lost request names its route and its times

What its readers saw: "a request sent 407 ms after its node was told to stop was read and got no answer", without which request it was, whether it had reached a server and when it ran. The node's log has no line of it, as the process had ended.

Change: the line names id and route, and when the connection was cut, when the request reached a server and when its run began, all counted from the stop. The check itself is unchanged.

--- a/standins/site/Callers.cpp
+++ b/standins/site/Callers.cpp
@@ -155,7 +155,7 @@
   bool Answered = CallResult.m_Failure == HttpFailure::None &&
                   CallResult.m_Response.m_Status == 200;
   if (IsFirst && !Abandons && Class.m_CallsPerSecond > 0)
-    m_FirstTries.push_back({VmIp, SentAt, Answered,
+    m_FirstTries.push_back({Id, Class.m_Prefix, VmIp, SentAt, now(), Answered,
                             CallResult.m_Failure == HttpFailure::Incomplete});
   NoRetry = Answered || Abandons ||
             (!Class.m_Idempotent && !GuaranteedNotRun &&
--- a/standins/site/Callers.h
+++ b/standins/site/Callers.h
@@ -51,8 +51,11 @@
 
 // The first attempt of a call.
 struct FirstTry {
+  std::string m_Id;
+  std::string m_Prefix;
   std::string m_VmIp;
   Time m_SentAt{0};
+  Time m_EndedAt{0};
   bool m_Served = false;
   // The connection ended without a whole response to a request that was sent.
   bool m_Broken = false;
--- a/standins/site/Servers.cpp
+++ b/standins/site/Servers.cpp
@@ -196,7 +196,9 @@
     m_ArrivalsAfterWithdrawal.push_back(now());
   recordArrival(Request.m_PeerIp);
   m_RateLimits.recordArrival(Request.m_PeerIp, now());
-  ++m_Records[RequestId].m_Arrivals;
+  RunRecord &Record = m_Records[RequestId];
+  ++Record.m_Arrivals;
+  Record.m_LastArrival = now();
   if (m_Random.uniform() < m_Faults.m_RetryAfterShare) {
     HttpResponse Response = refusal(503, RequestId);
     Response.m_Headers.push_back(
--- a/standins/site/Servers.h
+++ b/standins/site/Servers.h
@@ -19,6 +19,7 @@
   // Service of the server that ran the request last.
   std::string m_Service;
   std::string m_Method;
+  Time m_LastArrival{0};
   Time m_LastRun{0};
 };
 using RunRecords = std::map<std::string, RunRecord>;
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -574,16 +574,32 @@
     m_PlannedStops.emplace(Ip, now());
 }
 
+// Tells when what happened to a request, counted from the stop of its node.
+std::string Site::lostText(const FirstTry &Try, Time StopAt) const {
+  auto After = [StopAt](Time At) {
+    return std::to_string((At - StopAt) / 1ms) + " ms";
+  };
+  std::string Text = "lost: a request sent " + After(Try.m_SentAt) +
+                     " after its node was told to stop was read and got no "
+                     "answer (" +
+                     Try.m_Id + " on " + Try.m_Prefix + ", cut after " +
+                     After(Try.m_EndedAt);
+  if (auto Found = m_Records.find(Try.m_Id); Found != m_Records.end()) {
+    const RunRecord &Run = Found->second;
+    Text += ", at a server after " + After(Run.m_LastArrival);
+    if (Run.m_Runs > 0)
+      Text += ", run began after " + After(Run.m_LastRun);
+  }
+  return Text + ")";
+}
+
 // A node that was told to stop and takes a request must answer it.
 void Site::verifyPlannedStops(std::vector<std::string> &Violations) const {
   for (const auto &[Ip, At] : m_PlannedStops)
     for (const FirstTry &Try : m_Callers->firstTries())
       if (Try.m_VmIp == Ip && Try.m_Broken && Try.m_SentAt > At &&
           Try.m_SentAt < At + GracePeriod)
-        Violations.push_back("lost: a request sent " +
-                             std::to_string((Try.m_SentAt - At) / 1ms) +
-                             " ms after its node was told to stop was read and "
-                             "got no answer");
+        Violations.push_back(lostText(Try, At));
 }
 
 std::vector<std::string> Site::verify() const {
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -132,6 +132,7 @@
   void verifyRateLimits(std::vector<std::string> &Violations) const;
   void verifyConfig(std::vector<std::string> &Violations) const;
   void verifyEvacuations(std::vector<std::string> &Violations) const;
+  std::string lostText(const FirstTry &Try, Time StopAt) const;
   void verifyPlannedStops(std::vector<std::string> &Violations) const;
   void verifyCuts(std::vector<std::string> &Violations) const;
   void verifyDeadlyCalls(std::vector<std::string> &Violations) const;
