Tests: what would outlast a stopping process, by longest runs and after waits

Cause: endsBy takes the median of the route, and it is asked at arrival only, before the waits for a quota and in the queue.

Change: two rows in the table of endsBy (one fails), and a table of sends after a wait, in the queue and before it (four checks fail).

--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -33,6 +33,18 @@
   return Request;
 }
 
+// Sends a request to the first server, which serves it.
+void recordRun(Dispatcher &Tested, const DispatchRequest &Request,
+               Duration RunTime, Time Now) {
+  DispatchDecision Decision;
+  Decision.m_Server = 0;
+  Tested.started(Decision, Now);
+  AttemptReport Report;
+  Report.m_ResponseTime = RunTime;
+  Report.m_HasLoad = true;
+  Tested.finished(Request, Decision, Report, Now, Now + RunTime);
+}
+
 BackendInfo server(const std::string &Id, const std::string &Region) {
   BackendInfo Info;
   Info.m_Id = Id;
@@ -632,29 +644,87 @@
       Duration m_RunTime;
       Duration m_TimeLeft;
       bool m_EndsBy;
+      // Later runs of the same route, which take 40 ms.
+      int m_ShortRuns = 0;
     };
     const Row Rows[] = {
-        {500ms, 5700ms, true},  {500ms, 700ms, false}, {2s, 3300ms, true},
-        {2s, 2500ms, false},    {4s, 5700ms, false},   {8s, 9700ms, false},
-        {1500ms, 2500ms, true}, {6s, 9700ms, true},
+        {500ms, 5700ms, true},    {500ms, 700ms, false},
+        {2s, 3300ms, true},       {2s, 2500ms, false},
+        {4s, 5700ms, false},      {8s, 9700ms, false},
+        {1500ms, 2500ms, true},   {6s, 9700ms, true},
+        {4s, 5700ms, false, 100}, {500ms, 5700ms, true, 100},
     };
     for (const Row &Case : Rows) {
       CAPTURE(Case.m_RunTime.count());
       CAPTURE(Case.m_TimeLeft.count());
+      CAPTURE(Case.m_ShortRuns);
       Dispatcher Tested("r1");
       Tested.fleet().update({server("a", "r1")}, 1s);
       DispatchRequest Request = requestFor(1, 7, 10s);
-      DispatchDecision Decision = Tested.submit(Request, 10s);
-      Tested.started(Decision, 10s);
-      AttemptReport Report;
-      Report.m_ResponseTime = Case.m_RunTime;
-      Report.m_HasLoad = true;
-      Tested.finished(Request, Decision, Report, 10s, 10s + Case.m_RunTime);
+      recordRun(Tested, Request, Case.m_RunTime, 10s);
+      for (int I = 0; I < Case.m_ShortRuns; ++I)
+        recordRun(Tested, Request, 40ms, 19s);
       CHECK(Tested.endsBy(Request, 30s + Case.m_TimeLeft, 30s) ==
             Case.m_EndsBy);
     }
   }
 
+  // A wait for a quota or a slot can leave too little time for the run.
+  TEST_CASE("a process that stops sends nothing that would outlast it") {
+    struct Row {
+      const char *m_Name;
+      Duration m_RunTime;
+      Duration m_Waited; // From the stop.
+      DispatchAction m_Action;
+    };
+    const Row Rows[] = {
+        {"a short run", 400ms, 1s, DispatchAction::Send},
+        {"a long run after a short wait", 2s, 1s, DispatchAction::Send},
+        {"a long run after a long wait", 2s, 3500ms, DispatchAction::Refuse},
+        {"a longer run", 4s, 2s, DispatchAction::Refuse},
+    };
+    constexpr Time StoppedAt = 20s;
+    constexpr Time End = StoppedAt + 5700ms;
+    constexpr std::size_t Slots = 3; // Of the server.
+    for (const Row &Case : Rows)
+      for (bool IsQueued : {false, true}) {
+        CAPTURE(std::string(Case.m_Name));
+        CAPTURE(IsQueued);
+        Dispatcher Tested("r1");
+        Tested.fleet().update({server("a", "r1")}, 1s);
+        DispatchRequest Request = requestFor(1, 7, StoppedAt);
+        Request.m_Priority = 2; // Does not queue inside servers.
+        Request.m_ObjectiveAt = StoppedAt + 7s;
+        Request.m_Deadline = StoppedAt + 8s;
+        recordRun(Tested, Request, Case.m_RunTime, 10s);
+        std::vector<DispatchDecision> Others(IsQueued ? Slots : 0);
+        for (DispatchDecision &Other : Others) {
+          Other.m_Server = 0;
+          Tested.started(Other, StoppedAt);
+        }
+        DispatchDecision Decision;
+        if (IsQueued) {
+          Decision = Tested.submit(Request, StoppedAt);
+          REQUIRE(Decision.m_Action == DispatchAction::Wait);
+        }
+        Tested.limitQueuedDeadlines(End);
+        Request.m_Deadline = std::min(Request.m_Deadline, End);
+        Time Now = StoppedAt + Case.m_Waited;
+        AttemptReport Ended;
+        Ended.m_Outcome = AttemptOutcome::Abandoned;
+        for (const DispatchDecision &Other : Others)
+          Tested.finished(Request, Other, Ended, StoppedAt, Now);
+        if (IsQueued) {
+          std::vector<QueueDecision> Made = Tested.processQueue(Now);
+          REQUIRE(Made.size() == 1);
+          Decision = Made.front().m_Decision;
+        } else {
+          Decision = Tested.submit(Request, Now);
+        }
+        CHECK(Decision.m_Action == Case.m_Action);
+      }
+  }
+
   TEST_CASE("requests that wait for a rate limit go by priority, at its rate") {
     Dispatcher Tested("r1");
     Tested.fleet().update({server("a", "r1")}, 1s);
