A stopping process judges a request again after each wait

What callers saw: a planned stop cut requests that had waited in it: they came 6 to 547 ms after SIGTERM, left for a server 2.4 to 4.2 s after it and ran for 4 s; the grace is 6 s. One was cut while it still waited.

Cause: whether a request would outlast the process was asked at its arrival only. Afterwards the end of the process was a deadline like the caller's: a request that a token was found for is sent until that moment, and a queued one is sent late where a server has spare slots, or refused only as the process ends.

Change: the dispatcher knows when the process ends (stopAt instead of limitQueuedDeadlines). It asks endsBy for each request that it is to send, new or queued, and refuses at once (leaving, not run) what would outlast the process. The same question stands before an attempt is repeated and before a detour. Time inside a server's queue stays limited by the end of the process too.

Ruled out: the soak's check. The requests came after SIGTERM, and the node knew of calls of 4 s on their route and of its end before it sent them.

Open: a run longer than 1.5 times the longest of the last one to two minutes is still cut, and so is what runs when SIGTERM comes and outlasts the grace.

--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -171,9 +171,12 @@
   // Whether a request that is sent now can be expected to end by a time. Run
   // times vary, so one that barely would does not count.
   bool endsBy(const DispatchRequest &Request, Time End, Time Now) const;
-  // Moves the deadlines of queued requests to a time at the latest, so that
-  // those that would not end by then are refused.
-  void limitQueuedDeadlines(Time Latest);
+  // Sets when this process ends. From now on, requests that cannot be expected
+  // to end by then are refused, also after a wait.
+  void stopAt(Time End) { m_StopAt = End; }
+  bool endsBeforeStop(const DispatchRequest &Request, Time Now) const {
+    return m_StopAt == Time::max() || endsBy(Request, m_StopAt, Now);
+  }
   // Replaces queued requests that the hook returns, and keeps the others. Those
   // that are replaced keep their time of arrival and are not admitted again.
   void updateQueued(
@@ -288,6 +291,7 @@
   Fleet m_Fleet;
   SpillTable m_Spill;
   ServiceTimes m_Times;
+  Time m_StopAt = Time::max(); // The end of this process, once it is stopping.
   Random m_Random;
   std::deque<DispatchRequest> m_Queue; // Sorted by priority, then by arrival.
   WaitEstimator m_WaitEstimator;
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -438,10 +438,11 @@
       toMicros(m_Times.expected(Request.m_RouteName, Objective, Warm)) *
       Slowdown;
   double RoundTrip = toMicros(m_Fleet.roundTrip(Row));
-  double CanWait =
-      m_Limits.m_QueueTimeShare *
-      (toMicros(std::min(Request.m_ObjectiveAt, Request.m_Deadline) - Now) -
-       RoundTrip - RunTime);
+  double CanWait = m_Limits.m_QueueTimeShare *
+                   (toMicros(std::min({Request.m_ObjectiveAt,
+                                       Request.m_Deadline, m_StopAt}) -
+                             Now) -
+                    RoundTrip - RunTime);
   auto Spare = m_SpareTimes.find(Request.m_Pool);
   if (Spare != m_SpareTimes.end())
     for (std::size_t Class = 0; Class < priorityClass(Request.m_Priority);
@@ -641,7 +642,8 @@
   Time OnTime = Request.m_ObjectiveAt - ServiceTime;
   Time QueueLimit = Request.m_ArrivedAt +
                     fromMicros(toMicros(Objective) * m_Limits.m_MaxWaitShare);
-  return std::min({OnTime, QueueLimit, Request.m_Deadline - ServiceTime});
+  return std::min({OnTime, QueueLimit,
+                   std::min(Request.m_Deadline, m_StopAt) - ServiceTime});
 }
 
 DispatchDecision Dispatcher::refuse(const DispatchRequest &Request,
@@ -651,6 +653,11 @@
   DispatchDecision Decision;
   Decision.m_Action = DispatchAction::Refuse;
   Decision.m_Error = Kind;
+  if (Kind == ErrorKind::Leaving) {
+    // Another process can take it at once.
+    Decision.m_RetryAfter = m_Limits.m_MinRetryAfter;
+    return Decision;
+  }
   Duration Wait = Ranked.empty() ? m_Fleet.earliestResume(Request.m_Pool, Now)
                                  : predictedWait(Request, Ranked, Now);
   Decision.m_PredictedWait = Wait;
@@ -688,6 +695,8 @@
     recordSpareTime(Request, Now);
   if (Now >= Request.m_Deadline)
     return refuse(Request, ErrorKind::DeadlinePassed, {}, Now);
+  if (!endsBeforeStop(Request, Now))
+    return refuse(Request, ErrorKind::Leaving, {}, Now);
   std::vector<Candidate> Ranked = rankedCandidates(Request, Now);
   if (Ranked.empty())
     return refuse(Request, ErrorKind::NoServerLeft, Ranked, Now);
@@ -743,7 +752,8 @@
   std::size_t Scanned = 0;
   for (std::size_t I = 0; I < m_Queue.size();) {
     const DispatchRequest &Request = m_Queue[I];
-    bool Late = Now > latestStart(Request);
+    bool Outlasts = !endsBeforeStop(Request, Now);
+    bool Late = Outlasts || Now > latestStart(Request);
     // Requests that can no longer be on time are resolved even beyond the
     // limit.
     if (!Late && Scanned >= m_Limits.m_MaxScanned) {
@@ -752,8 +762,9 @@
     }
     ++Scanned;
     std::vector<Candidate> Ranked = rankedCandidates(Request, Now);
-    std::optional<DispatchDecision> Decision =
-        pickServer(Request, Ranked, Late, Now);
+    std::optional<DispatchDecision> Decision;
+    if (!Outlasts)
+      Decision = pickServer(Request, Ranked, Late, Now);
     if (!Decision && !Late && !Ranked.empty()) {
       ++I;
       continue;
@@ -766,11 +777,11 @@
       m_WaitEstimator.recordSent(Request.m_Pool, Request.m_Priority, Now);
       started(Resolved.m_Decision, Now);
     } else {
-      Resolved.m_Decision =
-          refuse(Request,
-                 Ranked.empty() ? ErrorKind::NoServerLeft
-                                : waitError(Request, Ranked, Now),
-                 Ranked, Now);
+      ErrorKind Kind = ErrorKind::Leaving;
+      if (!Outlasts)
+        Kind = Ranked.empty() ? ErrorKind::NoServerLeft
+                              : waitError(Request, Ranked, Now);
+      Resolved.m_Decision = refuse(Request, Kind, Ranked, Now);
     }
     recordDequeued(Request);
     m_Queue.erase(m_Queue.begin() + static_cast<std::ptrdiff_t>(I));
@@ -792,11 +803,6 @@
   return Now + fromMicros(toMicros(Longest) * RunTimeMargin) <= End;
 }
 
-void Dispatcher::limitQueuedDeadlines(Time Latest) {
-  for (DispatchRequest &Request : m_Queue)
-    Request.m_Deadline = std::min(Request.m_Deadline, Latest);
-}
-
 void Dispatcher::updateQueued(
     const std::function<std::optional<DispatchRequest>(RequestId)> &Hook,
     Time Now) {
--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -721,8 +721,7 @@
           Decision = Tested.submit(Request, StoppedAt);
           REQUIRE(Decision.m_Action == DispatchAction::Wait);
         }
-        Tested.limitQueuedDeadlines(End);
-        Request.m_Deadline = std::min(Request.m_Deadline, End);
+        Tested.stopAt(End);
         Time Now = StoppedAt + Case.m_Waited;
         AttemptReport Ended;
         Ended.m_Outcome = AttemptOutcome::Abandoned;
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -262,7 +262,7 @@
   constexpr Duration AcceptDuration = 3800ms;
   m_Leaving = true;
   m_LeavingSince = now();
-  m_Dispatcher.limitQueuedDeadlines(stopTime());
+  m_Dispatcher.stopAt(stopTime());
   m_CallerServer.disableKeepAlive();
   m_DetourServer.disableKeepAlive();
   sendHeartbeats();
--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -86,6 +86,7 @@
          Work.m_DeliveredAttempts < Work.m_MaxAttempts &&
          !Work.m_RequestCancellation->cancelled() &&
          now() < Work.m_Dispatch.m_Deadline &&
+         m_Dispatcher.endsBeforeStop(Work.m_Dispatch, now()) &&
          m_Detours.mayHelp(Work.m_Dispatch.m_Pool, now());
 }
 
--- a/tools/rhubarb-node/NodePolicy.cpp
+++ b/tools/rhubarb-node/NodePolicy.cpp
@@ -99,8 +99,6 @@
   Item.m_ObjectiveAt = Policy.m_Objective.count() > 0
                            ? Item.m_ArrivedAt + Policy.m_Objective
                            : Item.m_Deadline;
-  if (m_Leaving)
-    Item.m_Deadline = std::min(Item.m_Deadline, stopTime());
   Item.m_ObjectHash = 0;
   if (Policy.m_Affinity) {
     std::string_view Object =
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -122,7 +122,7 @@
   if (ErrorKind Kind = applyPolicy(*Work); Kind != ErrorKind::None)
     co_return makeRefusal(*Work, Kind, Duration{0});
   // Another VM can answer what would still be running at the end.
-  if (m_Leaving && !m_Dispatcher.endsBy(Item, stopTime(), Item.m_ArrivedAt))
+  if (!m_Dispatcher.endsBeforeStop(Item, Item.m_ArrivedAt))
     co_return makeRefusal(*Work, ErrorKind::Leaving, LeavingRetryAfter);
   // A request that was passed on has been recorded by the VM that it came from.
   if (!Work->m_Detoured)
@@ -641,7 +641,7 @@
     return "attempts_used";
   if (now() >= Work.m_Dispatch.m_Deadline)
     return "no_time_left";
-  if (m_Leaving && !m_Dispatcher.endsBy(Work.m_Dispatch, stopTime(), now()))
+  if (!m_Dispatcher.endsBeforeStop(Work.m_Dispatch, now()))
     return "leaving";
   if (Work.m_MayHaveRun && !takeQuotaTokenForRepeat(Work))
     return "no_quota_token";
