--- a/test/DispatchTest.cpp
+++ b/test/DispatchTest.cpp
@@ -648,6 +648,8 @@
       int m_ShortRuns = 0;
       Time m_AskedAt = 30s;
       Duration m_Objective = 400ms;
+      // From the question until an attempt is ended; 0: never.
+      Duration m_AttemptsEndIn{0};
     };
     const Row Rows[] = {
         {500ms, 5700ms, true},
@@ -665,6 +667,9 @@
         // Until a run could have taken as long as is assumed, it may.
         {40ms, 5700ms, false, 10, 18s, 7s},
         {40ms, 5700ms, true, 10, 30s, 7s},
+        // What is ended in time can take any time.
+        {4s, 5700ms, true, 0, 30s, 400ms, 5700ms},
+        {4s, 5700ms, false, 0, 30s, 400ms, 5800ms},
     };
     for (const Row &Case : Rows) {
       CAPTURE(Case.m_RunTime.count());
@@ -674,6 +679,8 @@
       Tested.fleet().update({server("a", "r1")}, 1s);
       DispatchRequest Request = requestFor(1, 7, 10s);
       Request.m_ObjectiveAt = Request.m_ArrivedAt + Case.m_Objective;
+      if (Case.m_AttemptsEndIn.count() > 0)
+        Request.m_AttemptsEndAt = Case.m_AskedAt + Case.m_AttemptsEndIn;
       recordRun(Tested, Request, Case.m_RunTime, 10s);
       for (int I = 0; I < Case.m_ShortRuns; ++I)
         recordRun(Tested, Request, 40ms,
