--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -14,8 +14,9 @@
 constexpr double ServiceTimeStep = 0.04;
 // Weight of one run in the mean run time of its pool.
 constexpr double PoolMeanWeight = 0.02;
-// Run times of a route lie within this multiple of their estimate, mostly.
+// A run may take this much longer than the longest one that was measured.
 constexpr double RunTimeMargin = 1.5;
+constexpr Duration LongestTimeWindow = 60s;
 // Relative increase of a server's cost per position in the rendezvous order.
 constexpr double PositionPenalty = 0.01;
 // Cost added to a cold run, as a multiple of the warm service time.
@@ -76,18 +77,48 @@
 
 Duration ServiceTimes::expected(const std::string &Route, Duration Objective,
                                 bool Warm) const {
-  if (Objective.count() == 0)
-    Objective = m_Limits.m_DefaultObjective;
   auto Times = m_Rows.find(Route);
   double Estimate = 0;
   if (Times != m_Rows.end())
     Estimate = Warm ? Times->second.m_WarmUs : Times->second.m_ColdUs;
   if (Estimate > 0)
     return fromMicros(Estimate);
+  return assumed(Objective, Warm);
+}
+
+Duration ServiceTimes::assumed(Duration Objective, bool Warm) const {
+  if (Objective.count() == 0)
+    Objective = m_Limits.m_DefaultObjective;
   return fromMicros(toMicros(Objective) * (Warm ? m_Limits.m_DefaultWarmShare
                                                 : m_Limits.m_DefaultColdShare));
 }
 
+Duration ServiceTimes::longest(const std::string &Route, Duration Objective,
+                               Time Now) const {
+  Duration Assumed = assumed(Objective, false);
+  auto Found = m_LongestRows.find(Route);
+  if (Found == m_LongestRows.end())
+    return Assumed;
+  const LongestRow &Times = Found->second;
+  Duration Measured = std::max(Times.m_Longest, Times.m_LongestBefore);
+  return Now - Times.m_FirstAt < Assumed ? std::max(Measured, Assumed)
+                                         : Measured;
+}
+
+void ServiceTimes::recordResponseTime(const std::string &Route,
+                                      Duration ResponseTime, Time Now) {
+  auto [Position, Added] = m_LongestRows.try_emplace(Route);
+  LongestRow &Times = Position->second;
+  if (Added)
+    Times.m_FirstAt = Times.m_Since = Now;
+  if (Now - Times.m_Since >= LongestTimeWindow) {
+    Times.m_LongestBefore = Times.m_Longest;
+    Times.m_Longest = Duration{0};
+    Times.m_Since = Now;
+  }
+  Times.m_Longest = std::max(Times.m_Longest, ResponseTime);
+}
+
 // Moves the estimate towards the median of the run times, so that a few slow
 // servers don't raise it.
 void ServiceTimes::record(const std::string &Route, bool Warm,
@@ -407,10 +438,11 @@
       toMicros(m_Times.expected(Request.m_RouteName, Objective, Warm)) *
       Slowdown;
   double RoundTrip = toMicros(m_Fleet.roundTrip(Row));
-  double CanWait =
-      m_Limits.m_QueueTimeShare *
-      (toMicros(std::min(Request.m_ObjectiveAt, Request.m_Deadline) - Now) -
-       RoundTrip - RunTime);
+  double CanWait = m_Limits.m_QueueTimeShare *
+                   (toMicros(std::min({Request.m_ObjectiveAt,
+                                       Request.m_Deadline, m_StopAt}) -
+                             Now) -
+                    RoundTrip - RunTime);
   auto Spare = m_SpareTimes.find(Request.m_Pool);
   if (Spare != m_SpareTimes.end())
     for (std::size_t Class = 0; Class < priorityClass(Request.m_Priority);
@@ -610,7 +642,8 @@
   Time OnTime = Request.m_ObjectiveAt - ServiceTime;
   Time QueueLimit = Request.m_ArrivedAt +
                     fromMicros(toMicros(Objective) * m_Limits.m_MaxWaitShare);
-  return std::min({OnTime, QueueLimit, Request.m_Deadline - ServiceTime});
+  return std::min({OnTime, QueueLimit,
+                   std::min(Request.m_Deadline, m_StopAt) - ServiceTime});
 }
 
 DispatchDecision Dispatcher::refuse(const DispatchRequest &Request,
@@ -620,6 +653,11 @@
   DispatchDecision Decision;
   Decision.m_Action = DispatchAction::Refuse;
   Decision.m_Error = Kind;
+  if (Kind == ErrorKind::Leaving) {
+    // Another process can take it at once.
+    Decision.m_RetryAfter = m_Limits.m_MinRetryAfter;
+    return Decision;
+  }
   Duration Wait = Ranked.empty() ? m_Fleet.earliestResume(Request.m_Pool, Now)
                                  : predictedWait(Request, Ranked, Now);
   Decision.m_PredictedWait = Wait;
@@ -657,6 +695,8 @@
     recordSpareTime(Request, Now);
   if (Now >= Request.m_Deadline)
     return refuse(Request, ErrorKind::DeadlinePassed, {}, Now);
+  if (!endsBeforeStop(Request, Now))
+    return refuse(Request, ErrorKind::Leaving, {}, Now);
   std::vector<Candidate> Ranked = rankedCandidates(Request, Now);
   if (Ranked.empty())
     return refuse(Request, ErrorKind::NoServerLeft, Ranked, Now);
@@ -712,7 +752,8 @@
   std::size_t Scanned = 0;
   for (std::size_t I = 0; I < m_Queue.size();) {
     const DispatchRequest &Request = m_Queue[I];
-    bool Late = Now > latestStart(Request);
+    bool Outlasts = !endsBeforeStop(Request, Now);
+    bool Late = Outlasts || Now > latestStart(Request);
     // Requests that can no longer be on time are resolved even beyond the
     // limit.
     if (!Late && Scanned >= m_Limits.m_MaxScanned) {
@@ -721,8 +762,9 @@
     }
     ++Scanned;
     std::vector<Candidate> Ranked = rankedCandidates(Request, Now);
-    std::optional<DispatchDecision> Decision =
-        pickServer(Request, Ranked, Late, Now);
+    std::optional<DispatchDecision> Decision;
+    if (!Outlasts)
+      Decision = pickServer(Request, Ranked, Late, Now);
     if (!Decision && !Late && !Ranked.empty()) {
       ++I;
       continue;
@@ -735,11 +777,11 @@
       m_WaitEstimator.recordSent(Request.m_Pool, Request.m_Priority, Now);
       started(Resolved.m_Decision, Now);
     } else {
-      Resolved.m_Decision =
-          refuse(Request,
-                 Ranked.empty() ? ErrorKind::NoServerLeft
-                                : waitError(Request, Ranked, Now),
-                 Ranked, Now);
+      ErrorKind Kind = ErrorKind::Leaving;
+      if (!Outlasts)
+        Kind = Ranked.empty() ? ErrorKind::NoServerLeft
+                              : waitError(Request, Ranked, Now);
+      Resolved.m_Decision = refuse(Request, Kind, Ranked, Now);
     }
     recordDequeued(Request);
     m_Queue.erase(m_Queue.begin() + static_cast<std::ptrdiff_t>(I));
@@ -750,16 +792,15 @@
 
 bool Dispatcher::endsBy(const DispatchRequest &Request, Time End,
                         Time Now) const {
+  if (Request.m_AttemptsEndAt.count() > 0 && Request.m_AttemptsEndAt <= End)
+    return true;
   Duration Objective = Request.m_ObjectiveAt - Request.m_ArrivedAt;
-  double Longest = std::max(
-      toMicros(m_Times.expected(Request.m_RouteName, Objective, true)),
-      toMicros(m_Times.expected(Request.m_RouteName, Objective, false)));
-  return Now + fromMicros(Longest * RunTimeMargin) <= End;
-}
-
-void Dispatcher::limitQueuedDeadlines(Time Latest) {
-  for (DispatchRequest &Request : m_Queue)
-    Request.m_Deadline = std::min(Request.m_Deadline, Latest);
+  // The expected times are medians, and a route may have a few long runs.
+  Duration Longest =
+      std::max({m_Times.expected(Request.m_RouteName, Objective, true),
+                m_Times.expected(Request.m_RouteName, Objective, false),
+                m_Times.longest(Request.m_RouteName, Objective, Now)});
+  return Now + fromMicros(toMicros(Longest) * RunTimeMargin) <= End;
 }
 
 void Dispatcher::updateQueued(
@@ -817,6 +858,8 @@
   if (Ran && Request.m_ObjectHash != 0)
     m_Affinity.recordRun(Request.m_ObjectHash, Decision.m_Server,
                          m_Fleet.row(Decision.m_Server).m_Incarnation, Now);
+  if (Ran)
+    m_Times.recordResponseTime(Request.m_RouteName, Report.m_ResponseTime, Now);
   if (!Served)
     return;
   Duration AtServer =
