--- a/net/Http.h
+++ b/net/Http.h
@@ -349,6 +349,11 @@
   std::size_t m_MinBytesPerSecond = 0;
 };
 
+// Returns the options of requests for documents whose length grows with the
+// configuration or the fleet, as VMs have narrow links: a response that has
+// begun goes on past its deadline while 32 KB of it arrive in each second.
+SendOptions longResponseOptions();
+
 // Limits on responses and pooled connections.
 struct HttpClientLimits {
   std::size_t m_MaxBodyBytes = 4U << 20U;
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -30,6 +30,9 @@
 // Maximum number of interim responses, such as 100 Continue. They may all be
 // buffered already, and then no timeout would end the loop that reads them.
 constexpr int MaxInterimResponses = 8;
+// TCP sends a segment that was lost twice again within this time.
+constexpr Duration LongResponseStallTimeout = 1s;
+constexpr std::size_t LongResponseMinBytesPerSecond = 32U << 10U;
 
 HttpFailure toFailure(const boost::system::error_code &Error) {
   if (Error == beast::error::timeout)
@@ -346,6 +349,13 @@
                      });
 }
 
+SendOptions longResponseOptions() {
+  SendOptions Options;
+  Options.m_StallTimeout = LongResponseStallTimeout;
+  Options.m_MinBytesPerSecond = LongResponseMinBytesPerSecond;
+  return Options;
+}
+
 asio::awaitable<HttpResult> HttpClient::send(std::string Address,
                                              HttpRequest Request, Time Deadline,
                                              bool NewConnection) {
--- a/tools/rhubarb-node/NodePeers.cpp
+++ b/tools/rhubarb-node/NodePeers.cpp
@@ -15,11 +15,6 @@
 // Fleets whose heartbeats are relayed send them at this interval.
 constexpr Duration RelayedHeartbeatInterval = 1s;
 constexpr Duration FetchTimeout = 1s;
-// A document of a peer that has begun to arrive goes on past FetchTimeout while
-// this much of it arrives, as its length grows with the configuration and the
-// list of servers and VMs have narrow links.
-constexpr Duration FetchStallTimeout = 1s;
-constexpr std::size_t FetchMinBytesPerSecond = 32U << 10U;
 constexpr std::size_t MaxResentRows = 8; // These rows fit one datagram.
 // A configuration up to this size is fetched from a peer, which saves a store
 // call.
@@ -53,14 +48,6 @@
 // before a restore of the store, the store does not tell the other.
 constexpr Duration ListsDifferTime = 1500ms;
 
-// Returns the options of requests for whole documents.
-SendOptions fetchOptions() {
-  SendOptions Options;
-  Options.m_StallTimeout = FetchStallTimeout;
-  Options.m_MinBytesPerSecond = FetchMinBytesPerSecond;
-  return Options;
-}
-
 } // namespace
 
 void Node::addKnownVm(const std::string &Ip, const std::string &Domain) {
@@ -202,7 +189,7 @@
   Request.m_Target = "/v1/config";
   HttpResult Got = co_await m_PeerClient.send(
       Ip + ":" + std::to_string(m_Settings.m_PeerPort), Request,
-      now() + FetchTimeout, fetchOptions());
+      now() + FetchTimeout, longResponseOptions());
   m_FetchingConfig = false;
   if (Got.m_Failure != HttpFailure::None || Got.m_Response.m_Status != 200) {
     logEvent(Severity::Warning, "config_fetch_failed",
@@ -684,7 +671,7 @@
   Request.m_Target = "/v1/list";
   HttpResult Got = co_await m_PeerClient.send(
       Ip + ":" + std::to_string(m_Settings.m_PeerPort), Request,
-      now() + FetchTimeout, fetchOptions());
+      now() + FetchTimeout, longResponseOptions());
   m_FetchingList = false;
   Result<Json::Value> Read =
       Got.m_Failure == HttpFailure::None && Got.m_Response.m_Status == 200
