Tests: stand-ins that send long responses have a header of their own

unit.store_transfer and unit.peer_transfer each built evenly sent responses, chunks, stalls and heartbeats themselves; tests of further transfers need the same. test/LongResponses.h has them once.

--- a/test/PeerTransferTest.cpp
+++ b/test/PeerTransferTest.cpp
@@ -1,8 +1,8 @@
 // Documents that a node fetches from a peer and that take long to arrive, as
 // their length grows with the configuration and the list of servers.
+#include "test/LongResponses.h"
 #include "test/NodeFixture.h"
 
-#include "net/Messages.h"
 #include "net/ServerListUpdate.h"
 
 using namespace rhubarb;
@@ -43,10 +43,8 @@
   return Text;
 }
 
-// Announces a newer configuration or list again and again, as a live VM does.
-asio::awaitable<void> announce(asio::io_context &Io, Document Kind) {
-  asio::ip::udp::socket Socket(Io, {asio::ip::make_address(peerIp()), 0});
-  asio::ip::udp::endpoint To(asio::ip::make_address(nodeIp()), PeerPort);
+// Returns the report of a peer with a newer configuration or list.
+MemberReport makeReport(Document Kind) {
   MemberReport Report;
   Report.m_Vm = peerIp();
   Report.m_Domain = "a-1";
@@ -55,14 +53,7 @@
     Report.m_Revision = NextRevision;
   else
     Report.m_DirectoryIndex = 5;
-  for (;;) {
-    ++Report.m_Sequence;
-    Heartbeat Message;
-    Message.m_Reports.push_back({Report, Duration{0}});
-    std::string Text = encodeHeartbeat(Message);
-    co_await Socket.async_send_to(asio::buffer(Text), To, Await);
-    co_await sleepFor(100ms);
-  }
+  return Report;
 }
 
 } // namespace
@@ -83,21 +74,14 @@
                                    {NextRevision, Text});
       };
       Fixture.m_Node.setHooks(std::move(Hooks));
-      constexpr Duration Interval = 50ms;
-      constexpr Duration Length = 2500ms;
-      RawAnswer Answer;
-      Answer.m_Text = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                      std::to_string(DocumentBytes) + "\r\n\r\n" +
-                      makeDocument(Kind);
-      Answer.m_End = ConnectionEnd::Close;
-      Answer.m_FragmentInterval = Interval;
-      Answer.m_FragmentBytes =
-          Answer.m_Text.size() / static_cast<std::size_t>(Length / Interval) +
-          1;
+      RawAnswer Answer =
+          makeEvenAnswer(makeResponse(makeDocument(Kind)), 2500ms);
       tcp::acceptor Peer(Fixture.m_Io,
                          {asio::ip::make_address(peerIp()), PeerPort});
       asio::co_spawn(Fixture.m_Io, acceptRaw(Peer, Answer), asio::detached);
-      asio::co_spawn(Fixture.m_Io, announce(Fixture.m_Io, Kind),
+      asio::co_spawn(Fixture.m_Io,
+                     announce(Fixture.m_Io, makeReport(Kind),
+                              {asio::ip::make_address(nodeIp()), PeerPort}),
                      asio::detached);
       Time Began = now();
       while (!IsTaken && now() - Began < ConfigApply) {
--- a/test/StoreTransferTest.cpp
+++ b/test/StoreTransferTest.cpp
@@ -3,12 +3,10 @@
 // the next call started them anew.
 #include "platform/Store.h"
 #include "test/LogPipe.h"
-#include "test/RawExchange.h"
+#include "test/LongResponses.h"
 
 #include <doctest/doctest.h>
 
-#include <sstream>
-
 using namespace rhubarb;
 using namespace rhubarb::test;
 using namespace rhubarb::platform;
@@ -27,8 +25,6 @@
 // call that was given up the pause and a whole transfer must still fit into
 // ConfigApply.
 constexpr Duration GivenUpInMiddle = ConfigApply - 1s - 200ms;
-// Allowance for a machine that is busy with other tests.
-constexpr Duration BusyMachine = 300ms;
 // Limit on the length of an answer.
 constexpr std::size_t MaxAnswerBytes = 8U << 20U;
 
@@ -36,43 +32,14 @@
 enum class StoreCall : std::uint8_t { Watch, Range };
 constexpr std::string_view CallNames[] = {"watch", "range"};
 
-// How the end of an answer is told.
-enum class Framing : std::uint8_t { Length, Chunks };
-
 // Returns an answer with one item whose value has ValueBytes in base64.
 std::string makeAnswer(StoreCall Call, std::size_t ValueBytes,
                        Framing Kind = Framing::Length) {
-  constexpr std::size_t ChunkBytes = 10'000;
   std::string List = Call == StoreCall::Watch ? "events" : "items";
-  std::string Body = "{\"" + List + R"(":[{"key":"op/config","value":")" +
-                     std::string(ValueBytes, 'A') +
-                     R"(","revision":4}],"store_revision":5})";
-  std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
-  if (Kind == Framing::Length)
-    return Head + "Content-Length: " + std::to_string(Body.size()) +
-           "\r\n\r\n" + Body;
-  std::string Text = Head + "Transfer-Encoding: chunked\r\n\r\n";
-  for (std::size_t At = 0; At < Body.size(); At += ChunkBytes) {
-    std::string Chunk = Body.substr(At, ChunkBytes);
-    std::ostringstream Size;
-    Size << std::hex << Chunk.size();
-    Text += Size.str() + "\r\n" + Chunk + "\r\n";
-  }
-  return Text + "0\r\n\r\n";
-}
-
-// Returns an answer of 1.2 MB in base64 that arrives evenly over a time.
-RawAnswer makeSlowAnswer(StoreCall Call, Duration Length,
-                         Framing Kind = Framing::Length,
-                         std::size_t ValueBytes = 1'200'000) {
-  constexpr Duration Interval = 50ms;
-  RawAnswer Answer;
-  Answer.m_Text = makeAnswer(Call, ValueBytes, Kind);
-  Answer.m_End = ConnectionEnd::Close;
-  Answer.m_FragmentInterval = Interval;
-  Answer.m_FragmentBytes =
-      Answer.m_Text.size() / static_cast<std::size_t>(Length / Interval) + 1;
-  return Answer;
+  return makeResponse("{\"" + List + R"(":[{"key":"op/config","value":")" +
+                          std::string(ValueBytes, 'A') +
+                          R"(","revision":4}],"store_revision":5})",
+                      Kind);
 }
 
 // What a call has returned.
@@ -80,23 +47,9 @@
   StoreStatus m_Status = StoreStatus::Conflict;
   std::size_t m_ValueBytes = 0; // Of the item.
   Duration m_Took{0};
-  std::size_t m_Connections = 0; // That the store has accepted.
+  std::vector<Time> m_AcceptedAt; // Of the connections to the store.
 };
 
-// Accepts connections, of which the first gets an answer of its own.
-asio::awaitable<void> acceptCalls(tcp::acceptor &Acceptor, RawAnswer First,
-                                  RawAnswer Later, std::size_t &Connections) {
-  for (;;) {
-    auto [Error, Accepted] = co_await Acceptor.async_accept(Await);
-    if (Error)
-      co_return;
-    asio::co_spawn(Acceptor.get_executor(),
-                   answerRaw(std::make_shared<tcp::socket>(std::move(Accepted)),
-                             Connections++ == 0 ? First : Later),
-                   asio::detached);
-  }
-}
-
 // Makes a call to a store that gives one answer to it and another to the calls
 // after it, of which one is made OtherAfter the first. 0: no other call.
 CallEnd callStore(StoreCall Call, const RawAnswer &First,
@@ -106,7 +59,7 @@
   tcp::acceptor Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0});
   CallEnd End;
   RawAnswer Later{makeAnswer(StoreCall::Range, 4), ConnectionEnd::Close};
-  asio::co_spawn(Io, acceptCalls(Acceptor, First, Later, End.m_Connections),
+  asio::co_spawn(Io, acceptCalls(Acceptor, First, Later, End.m_AcceptedAt),
                  asio::detached);
   PlatformStore Store(Io, Counters, "127.0.0.1", addressOf(Acceptor));
   auto Run = [&]() -> asio::awaitable<void> {
@@ -172,15 +125,16 @@
       for (StoreCall Call : {StoreCall::Watch, StoreCall::Range}) {
         CAPTURE(Case.m_Name);
         CAPTURE(CallNames[static_cast<std::size_t>(Call)]);
-        RawAnswer Answer = makeSlowAnswer(Call, Case.m_Length, Case.m_Framing,
-                                          Case.m_ValueBytes);
+        RawAnswer Answer = makeEvenAnswer(
+            makeAnswer(Call, Case.m_ValueBytes, Case.m_Framing), Case.m_Length);
         Answer.m_PauseBefore = Case.m_PauseBefore;
         Answer.m_PauseInMiddle = Case.m_PauseInMiddle;
         CallEnd End = callStore(Call, Answer, Case.m_OtherAfter);
         CHECK(storeStatusName(End.m_Status) == "ok");
         CHECK(End.m_ValueBytes == Case.m_ValueBytes / 4 * 3);
         CHECK(End.m_Took < ConfigApply);
-        CHECK(End.m_Connections == (Case.m_OtherAfter.count() > 0 ? 2 : 1));
+        CHECK(End.m_AcceptedAt.size() ==
+              (Case.m_OtherAfter.count() > 0 ? 2 : 1));
       }
   }
 }
@@ -188,69 +142,12 @@
 TEST_SUITE("store_transfer") {
   // Guards against answers that hold a call although nothing comes of them.
   TEST_CASE("a call whose answer does not progress is given up in time") {
-    enum class Shape : std::uint8_t {
-      Nothing,
-      HeadOnly,
-      HeadLate,
-      HalfThenSilent,
-      HalfLateThenSilent,
-      ByteNowAndThen,
-      FewBytesSteadily,
-      HalfThenTrickle,
-    };
-    struct Row {
-      const char *m_Name;
-      Shape m_Shape;
-      bool m_IsSilent; // Noticed as soon as a store that never answers.
-    };
-    const Row Rows[] = {
-        {"never answers", Shape::Nothing, true},
-        {"the head, then nothing", Shape::HeadOnly, true},
-        {"the head late, then nothing", Shape::HeadLate, true},
-        {"stalls in the middle", Shape::HalfThenSilent, false},
-        {"begins late, stalls in the middle", Shape::HalfLateThenSilent, false},
-        {"a byte now and then", Shape::ByteNowAndThen, false},
-        {"a few bytes steadily", Shape::FewBytesSteadily, false},
-        {"half of it, then bytewise", Shape::HalfThenTrickle, false},
-    };
-    for (const Row &Case : Rows)
+    for (const StallRow &Case : StallRows)
       for (StoreCall Call : {StoreCall::Watch, StoreCall::Range}) {
         CAPTURE(Case.m_Name);
         CAPTURE(CallNames[static_cast<std::size_t>(Call)]);
-        std::string Text = makeAnswer(Call, 1'200'000);
-        std::string Head = Text.substr(0, Text.find("\r\n\r\n") + 4);
-        RawAnswer Answer{{}, ConnectionEnd::Silent};
-        switch (Case.m_Shape) {
-        case Shape::Nothing:
-          break;
-        case Shape::HeadLate:
-          Answer.m_PauseBefore = Wait;
-          [[fallthrough]];
-        case Shape::HeadOnly:
-          Answer.m_Text = Head;
-          break;
-        case Shape::HalfLateThenSilent:
-          Answer.m_PauseBefore = Wait;
-          [[fallthrough]];
-        case Shape::HalfThenSilent:
-          Answer.m_Text = Text.substr(0, Text.size() / 2);
-          break;
-        case Shape::ByteNowAndThen:
-          Answer.m_Text = Head;
-          Answer.m_RepeatedText = " ";
-          Answer.m_RepeatPause = 300ms;
-          break;
-        case Shape::FewBytesSteadily:
-          Answer.m_Text = Head;
-          Answer.m_RepeatedText = std::string(100, ' ');
-          Answer.m_RepeatPause = 20ms;
-          break;
-        case Shape::HalfThenTrickle:
-          Answer.m_Text = Text.substr(0, Text.size() / 2);
-          Answer.m_RepeatedText = " ";
-          Answer.m_RepeatPause = 20ms;
-          break;
-        }
+        RawAnswer Answer =
+            makeStalledAnswer(Case.m_Stall, makeAnswer(Call, 1'200'000), Wait);
         CallEnd End = callStore(Call, Answer);
         CHECK(storeStatusName(End.m_Status) == "lost");
         Duration Silent = Call == StoreCall::Watch ? SilentWatch : SilentRead;
@@ -317,12 +214,9 @@
                           std::to_string(MaxAnswerBytes) + "\r\n\r\n";
           Answer.m_RepeatedText = std::string(Case.m_FragmentBytes, ' ');
           if (Kind == Framing::Chunks) {
-            std::ostringstream Size;
-            Size << std::hex << Case.m_FragmentBytes;
             Answer.m_Text =
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-            Answer.m_RepeatedText =
-                Size.str() + "\r\n" + Answer.m_RepeatedText + "\r\n";
+            Answer.m_RepeatedText = makeChunk(Answer.m_RepeatedText);
           }
           Answer.m_RepeatPause = Case.m_Pause;
           CallEnd End = callStore(Call, Answer);
