Consul store: a long answer is taken while it arrives, however long that takes

What callers would see: on a VM with a narrow link, or beside a slow store, rhubarb-steer gives up a configuration, a checkpoint's chunk or a list of servers at 2 s, throws its bytes away and asks for all of it again after 0.5 to 1 s. Requests go by the configuration before, and store_silent is raised though the store answers. rhubarbctl (3 s) says that the store does not respond.

Cause: ConsulClient had one time limit for a whole answer (wait + timeout), while values have up to 1 MB (1.3 MB in base64) and the lists grow with the fleet.

Change: reads use longResponseOptions(), as the users' store does. A silent store, or one that sends a head alone, is noticed as before; a stall or less than 32 KB/s ends a read that has begun. Writes keep their total limit: their responses are short, their values at most 1 MB.

--- a/net/Store.cpp
+++ b/net/Store.cpp
@@ -36,11 +36,14 @@
   asio::awaitable<HttpResult> call(HttpRequest Request, Duration Wait) {
     HttpResult Result;
     Result.m_Failure = HttpFailure::Connect;
+    SendOptions Options;
+    if (Request.m_Method == "GET") // Responses to writes are short.
+      Options = longResponseOptions();
     for (std::size_t I = 0; I < m_Addresses.size(); ++I) {
       const std::string &Address =
           m_Addresses[m_NextAddress % m_Addresses.size()];
-      Result =
-          co_await m_Client.send(Address, Request, now() + Wait + m_Timeout);
+      Result = co_await m_Client.send(Address, Request,
+                                      now() + Wait + m_Timeout, Options);
       if (Result.m_Failure == HttpFailure::None &&
           Result.m_Response.m_Status < 500)
         break;
--- a/net/Store.h
+++ b/net/Store.h
@@ -24,7 +24,7 @@
 };
 
 // Operations that the platform must provide. Every call returns by its
-// deadline.
+// deadline, and a read later if its response goes on arriving.
 struct Store {
   // Reads a value. If WatchIndex is not 0, waits up to Wait for a newer value.
   std::function<asio::awaitable<Result<StoreValue>>(
@@ -42,7 +42,9 @@
 };
 
 // Returns a store that uses Consul's public HTTP API: /v1/kv with cas and
-// index, /v1/catalog/service with blocking queries.
+// index, /v1/catalog/service with blocking queries. A read without
+// a response by Timeout after its wait goes to the next address; once its
+// response has begun, it has the time of longResponseOptions().
 Store makeConsulStore(HttpClient &Client, std::vector<std::string> Addresses,
                       Duration Timeout);
 
