Agent: a neighbour's long document is taken while it arrives

What callers would see: most VMs get the configuration from a neighbour alone, so on a narrow link a document that needs more than 2 s never arrives there. Each full heartbeat starts the fetch anew, the link stays full of copies of which none ends, and requests go by the configuration before. A VM that starts in an outage of the platform gets no directory.

Cause: config.fetch and directory.fetch had 2 s for the whole answer, whose length grows with the configuration (the whole document if the edits do not follow) and the fleet.

A silent neighbour is noticed after 2 s as before. A document is at most 4 MB, so one fetch ends after 128 s at the latest.

--- a/tools/rhubarb-steer/AgentConfig.cpp
+++ b/tools/rhubarb-steer/AgentConfig.cpp
@@ -164,9 +164,9 @@
   m_FetchingConfig = true;
   Json::Value Params(Json::arrayValue);
   Params.append(static_cast<Json::UInt64>(m_NewestRevision));
-  Result<Json::Value> Response =
-      co_await callRpc(m_Client, Vm + ":" + std::to_string(m_Port),
-                       "config.fetch", Params, now() + FetchTimeout);
+  Result<Json::Value> Response = co_await callRpc(
+      m_Client, Vm + ":" + std::to_string(m_Port), "config.fetch", Params,
+      now() + FetchTimeout, longResponseOptions());
   m_FetchingConfig = false;
   if (!Response) {
     logEvent(Severity::Info, "config_fetch_failed", {{"from", Vm}});
--- a/tools/rhubarb-steer/AgentMembers.cpp
+++ b/tools/rhubarb-steer/AgentMembers.cpp
@@ -61,9 +61,10 @@
 
 asio::awaitable<void> Agent::fetchDirectoryFrom(std::string Vm) {
   m_FetchingDirectory = true;
-  Result<Json::Value> Response = co_await callRpc(
-      m_Client, Vm + ":" + std::to_string(m_Port), "directory.fetch",
-      Json::Value(Json::arrayValue), now() + FetchTimeout);
+  Result<Json::Value> Response =
+      co_await callRpc(m_Client, Vm + ":" + std::to_string(m_Port),
+                       "directory.fetch", Json::Value(Json::arrayValue),
+                       now() + FetchTimeout, longResponseOptions());
   m_FetchingDirectory = false;
   if (!Response)
     co_return;
