--- a/tools/rhubarbctl/Main.cpp
+++ b/tools/rhubarbctl/Main.cpp
@@ -5,6 +5,7 @@
 #include "net/Clock.h"
 #include "net/ConfigStore.h"
 #include "net/Daemon.h"
+#include "net/FetchJson.h"
 #include "net/Ini.h"
 #include "net/Text.h"
 
@@ -298,20 +299,6 @@
     co_return Ips;
   }
 
-  asio::awaitable<Result<Json::Value>> fetchJson(std::string Address,
-                                                 std::string Target) {
-    HttpRequest Request;
-    Request.m_Target = std::move(Target);
-    HttpResult Received = co_await m_Client.send(Address, std::move(Request),
-                                                 now() + StatusTimeout);
-    if (Received.m_Failure != HttpFailure::None)
-      co_return Error{ErrorKind::HomeUnreachable, "no response"};
-    Result<Json::Value> Body = parseJson(Received.m_Response.m_Body);
-    if (Body && !Body.value().isObject())
-      co_return Error{ErrorKind::Internal, "unreadable"};
-    co_return Body;
-  }
-
   asio::awaitable<std::vector<VmStatus>> fetchStatuses() {
     std::vector<VmStatus> Rows;
     for (const std::string &Ip : co_await listVmIps())
@@ -321,9 +308,10 @@
       spawn(m_Io,
             [](OperatorTool *Owner, VmStatus &Queried,
                std::shared_ptr<std::size_t> Pending) -> asio::awaitable<void> {
-              Queried.m_Status = co_await Owner->fetchJson(
+              Queried.m_Status = co_await fetchJson(
+                  Owner->m_Client,
                   Queried.m_Ip + ":" + Owner->m_Args.value("--steer-port"),
-                  "/v1/status");
+                  "/v1/status", now() + StatusTimeout);
               --*Pending;
             }(this, Row, PendingCount));
     constexpr Duration PollInterval = 5ms;
@@ -430,8 +418,9 @@
     bool AnyResponded = false;
     for (const std::string &Ip : co_await listVmIps()) {
       Result<Json::Value> Explanation =
-          co_await fetchJson(Ip + ":" + m_Args.value("--entry-port"),
-                             "/v1/explain?service=" + m_Args.value("SERVICE"));
+          co_await fetchJson(m_Client, Ip + ":" + m_Args.value("--entry-port"),
+                             "/v1/explain?service=" + m_Args.value("SERVICE"),
+                             now() + StatusTimeout);
       if (!Explanation) {
         std::cout << Ip << ": " << Explanation.error().m_Message << "\n";
         continue;
