rhubarbctl: a VM's long report is taken while it arrives

What operators would see: in a large fleet, over a narrow link, `rhubarbctl status` and `--wait` say of VMs that answer "not reached", and an edit counts as not in force.

Cause: 1 s for the whole report, which has a row for each VM of the fleet and comes from all VMs at the same time.

Change: fetchJson uses longResponseOptions(). A silent VM is noticed after 1 s as before. The price: `--wait` asks again when all reports have ended, so a VM that sends at hardly more than 32 KB/s can hold it past its 12 s, up to the client's 4 MB for a response. /v1/explain comes by the same function; its answers are short. Left alone: look-ups (six entries at most), load reports, keys.

--- a/net/FetchJson.cpp
+++ b/net/FetchJson.cpp
@@ -10,8 +10,8 @@
                                                Time Deadline) {
   HttpRequest Request;
   Request.m_Target = std::move(Target);
-  HttpResult Received =
-      co_await Client.send(Address, std::move(Request), Deadline);
+  HttpResult Received = co_await Client.send(Address, std::move(Request),
+                                             Deadline, longResponseOptions());
   if (Received.m_Failure != HttpFailure::None)
     co_return Error{ErrorKind::HomeUnreachable, "no response"};
   Result<Json::Value> Body = parseJson(Received.m_Response.m_Body);
--- a/net/FetchJson.h
+++ b/net/FetchJson.h
@@ -7,7 +7,8 @@
 
 namespace rhubarb::net {
 
-// Returns the JSON object that "ip:port" has at Target.
+// Returns the JSON object that "ip:port" has at Target. Once the response has
+// begun, it has the time of longResponseOptions().
 asio::awaitable<Result<Json::Value>> fetchJson(HttpClient &Client,
                                                std::string Address,
                                                std::string Target,
