Detours: a refusal holds for requests that may run nowhere else

What callers would see: at a VM that is cut off from the servers, a request whose regions have no server at the second VM is refused, and for the next 0.5 to 1 s all requests of that service are refused too, though the second VM would run them.

Cause: a refusal no_server or server_unreachable was recorded for (pool, VM) for 1 s, and a detour that found no VM for the pool for 0.5 s, whoever was refused. The second VM did not tell whether the request's regions or its own reach was the reason.

Evidence: two nodes in one process, the first without a path to the only server. Before: detour of /other answered, detour of /read (region b, the server is in a) "cannot_reach status=503 reason=no_server", then /other 503, without a detour.

Change: the refusal names the regions that the request may run in at the second VM, in the field that names them on the way there; one field without a value: nowhere. The first VM records pool and regions (DetourScope), and goes by a row for requests that may run in no other region.

The new table in unit.detours needs the new signatures and could not be built before. In the test configuration the route "other" uses the service of "read", so that both share a pool.

--- a/include/rhubarb/Detours.h
+++ b/include/rhubarb/Detours.h
@@ -17,6 +17,16 @@
   std::string m_Region;
 };
 
+// Where a request may run: at the servers of a pool in some regions.
+struct DetourScope {
+  int m_Pool = 0;
+  std::vector<std::string> m_Regions; // Empty: every region.
+
+  // Whether all servers of the other scope are in this one.
+  bool covers(const DetourScope &Other) const;
+  auto operator<=>(const DetourScope &) const = default;
+};
+
 // What became of a request that was passed to another VM.
 enum class DetourOutcome : std::uint8_t {
   Answered,
@@ -31,25 +41,31 @@
 public:
   DetourTable(std::string Region, std::uint64_t Seed)
       : m_Region(std::move(Region)), m_Random(Seed) {}
-  // Returns the VM for a request to a pool, or an empty string. Callers are in
-  // this VM's region, so its VMs come first; the fewer of them reach the
-  // servers, the more requests go to other regions.
-  std::string choose(int Pool, const std::vector<DetourVm> &Vms, Time Now);
-  void record(int Pool, const std::string &Vm, DetourOutcome Outcome, Time Now);
-  // Records that no VM took a request to a pool.
-  void recordNone(int Pool, Time Now) { m_NoneSince[Pool] = Now; }
-  // Whether a detour to a pool may help. After one that did not, requests are
+  // Returns the VM for a request, or an empty string. Callers are in this VM's
+  // region, so its VMs come first; the fewer of them reach the servers, the
+  // more requests go to other regions.
+  std::string choose(const DetourScope &Scope, const std::vector<DetourVm> &Vms,
+                     Time Now);
+  // Records what a VM did with a request. Scope is where the VM could have run
+  // it: its failure says nothing about requests that may run elsewhere.
+  void record(const DetourScope &Scope, const std::string &Vm,
+              DetourOutcome Outcome, Time Now);
+  // Records that no VM took a request.
+  void recordNone(const DetourScope &Scope, Time Now);
+  // Whether a detour may help a request. After one that did not, requests are
   // refused without another for a while.
-  bool mayHelp(int Pool, Time Now) const;
+  bool mayHelp(const DetourScope &Scope, Time Now) const;
 
 private:
-  bool isUsable(int Pool, const std::string &Vm, Time Now) const;
+  bool isUsable(const DetourScope &Scope, const std::string &Vm,
+                Time Now) const;
 
   std::string m_Region;
   Random m_Random;
-  // Until when a VM gets no requests, by pool and VM.
-  std::map<std::pair<int, std::string>, Time> m_AvoidedUntil;
-  std::map<int, Time> m_NoneSince;
+  // Until when a VM gets no requests of a scope.
+  std::map<std::string, std::map<DetourScope, Time>> m_AvoidedUntil;
+  // Until when requests of a scope make no detour.
+  std::map<DetourScope, Time> m_NoneUntil;
 };
 
 } // namespace rhubarb
--- a/test/DetoursTest.cpp
+++ b/test/DetoursTest.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int Pool = 0;
+const DetourScope Any{Pool, {}};
+const DetourScope AnyOfOther{Pool + 1, {}};
 
 const std::vector<DetourVm> Vms{
     {"a-1", "a"}, {"a-2", "a"}, {"b-1", "b"}, {"b-2", "b"}};
@@ -44,11 +46,11 @@
       CAPTURE(Case.m_Name);
       DetourTable Table("a", 1);
       for (const std::string &Vm : Case.m_CannotReach)
-        Table.record(Pool, Vm, DetourOutcome::CannotReach, 1s);
+        Table.record(Any, Vm, DetourOutcome::CannotReach, 1s);
       constexpr int Count = 1000;
       int Near = 0;
       for (int I = 0; I < Count; ++I) {
-        std::string Vm = Table.choose(Pool, Vms, 1500ms);
+        std::string Vm = Table.choose(Any, Vms, 1500ms);
         CHECK(std::find(Case.m_CannotReach.begin(), Case.m_CannotReach.end(),
                         Vm) == Case.m_CannotReach.end());
         Near += Vm.starts_with("a") ? 1 : 0;
@@ -64,20 +66,54 @@
          {DetourOutcome::CannotReach, DetourOutcome::Declined,
           DetourOutcome::Broken}) {
       DetourTable Table("a", 1);
-      Table.record(Pool, "a-1", Outcome, 1s);
-      CHECK(Table.choose(Pool, One, 1s).empty());
-      CHECK(Table.choose(Pool + 1, One, 1s) == "a-1");
-      CHECK(Table.choose(Pool, One, 3s) == "a-1");
+      Table.record(Any, "a-1", Outcome, 1s);
+      CHECK(Table.choose(Any, One, 1s).empty());
+      CHECK(Table.choose(AnyOfOther, One, 1s) == "a-1");
+      CHECK(Table.choose(Any, One, 3s) == "a-1");
+    }
+  }
+
+  // Guards against a VM, or all VMs, that get no requests because one was
+  // refused that may run in few regions.
+  TEST_CASE("a refusal holds for requests that may run nowhere else") {
+    struct Row {
+      const char *m_Name;
+      std::vector<std::string> m_Refused; // Regions; empty: every region.
+      std::vector<std::string> m_Next;    // Of the next request.
+      bool m_Avoided;
+    };
+    const Row Rows[] = {
+        {"no restriction", {}, {}, true},
+        {"any region includes one", {}, {"a"}, true},
+        {"the same region", {"a"}, {"a"}, true},
+        {"one of two", {"a", "b"}, {"b"}, true},
+        {"two in another order", {"a", "b"}, {"b", "a"}, true},
+        {"every region", {"a"}, {}, false},
+        {"another region", {"a"}, {"b"}, false},
+        {"one more region", {"a"}, {"a", "b"}, false},
+        {"a request that may run nowhere", {""}, {"a"}, false},
+    };
+    const std::vector<DetourVm> One{{"a-1", "a"}};
+    for (const Row &Case : Rows) {
+      CAPTURE(Case.m_Name);
+      DetourTable Table("a", 1);
+      DetourScope Refused{Pool, Case.m_Refused};
+      Table.record(Refused, "a-1", DetourOutcome::CannotReach, 1s);
+      Table.recordNone(Refused, 1s);
+      DetourScope Next{Pool, Case.m_Next};
+      CHECK(Table.choose(Next, One, 1s).empty() == Case.m_Avoided);
+      CHECK(Table.mayHelp(Next, 1s) == !Case.m_Avoided);
+      CHECK(Table.choose({Pool + 1, Case.m_Next}, One, 1s) == "a-1");
     }
   }
 
   TEST_CASE("after a detour that found no VM there is a pause") {
     DetourTable Table("a", 1);
-    CHECK(Table.mayHelp(Pool, 1s));
-    Table.recordNone(Pool, 1s);
-    CHECK_FALSE(Table.mayHelp(Pool, 1100ms));
-    CHECK(Table.mayHelp(Pool + 1, 1100ms));
-    CHECK(Table.mayHelp(Pool, 2s));
+    CHECK(Table.mayHelp(Any, 1s));
+    Table.recordNone(Any, 1s);
+    CHECK_FALSE(Table.mayHelp(Any, 1100ms));
+    CHECK(Table.mayHelp(AnyOfOther, 1100ms));
+    CHECK(Table.mayHelp(Any, 2s));
   }
 
   TEST_CASE("a VM is cut off if servers give no response and none does") {
--- a/test/NodeFixture.h
+++ b/test/NodeFixture.h
@@ -69,6 +69,27 @@
   return Limits;
 }
 
+// Returns a server in the failure domain "REGION-1".
+inline BackendInfo serverInfo(const std::string &Id, const std::string &Address,
+                              const char *Service, const std::string &Region,
+                              std::size_t Slots = ServerSlots) {
+  BackendInfo Info;
+  Info.m_Id = Id;
+  Info.m_Address = Address;
+  Info.m_PoolName = Service;
+  Info.m_Domain = Region + "-1";
+  Info.m_Region = Region;
+  Info.m_Slots = static_cast<int>(Slots);
+  return Info;
+}
+
+// Adds a server to a node's list, as a read of the control plane does.
+inline void listServer(node::Node &Target, const BackendInfo &Info) {
+  Target.serverList().put(Info, {1, 1}, now());
+  Target.confirmListComplete({1, 1}, now());
+  Target.recordListRead(node::ListReadResult::Current);
+}
+
 // A node, its backend servers and a caller.
 struct NodeFixture {
   asio::io_context m_Io{1};
@@ -99,16 +120,8 @@
     tcp::acceptor &Acceptor = m_Acceptors.emplace_back(
         m_Io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     asio::co_spawn(m_Io, acceptRaw(Acceptor, Answer), asio::detached);
-    BackendInfo Info;
-    Info.m_Id = "i-" + std::to_string(m_Acceptors.size());
-    Info.m_Address = addressOf(Acceptor);
-    Info.m_PoolName = Service;
-    Info.m_Domain = Region + "-1";
-    Info.m_Region = Region;
-    Info.m_Slots = static_cast<int>(Slots);
-    m_Node.serverList().put(Info, {1, 1}, now());
-    m_Node.confirmListComplete({1, 1}, now());
-    m_Node.recordListRead(node::ListReadResult::Current);
+    listServer(m_Node, serverInfo("i-" + std::to_string(m_Acceptors.size()),
+                                  addressOf(Acceptor), Service, Region, Slots));
   }
 
   void closeCallers() { m_Caller.closeIdleConnections(callerAddress()); }
--- a/test/NodeRegionsTest.cpp
+++ b/test/NodeRegionsTest.cpp
@@ -31,7 +31,7 @@
 constexpr const char *ApiKey = "k1";
 constexpr const char *OtherRoute =
     R"({"name":"other","prefix":"/other/","route_type":"safe","timeout":"3000ms",
-"priority":2,"service":"s2","max_attempts":2,"allowed_regions":[]})";
+"priority":2,"service":"s1","max_attempts":2,"allowed_regions":[]})";
 
 std::string configText(const Version &Of, const std::string &Organisation) {
   std::string Read =
@@ -270,4 +270,54 @@
       CHECK(Got.m_Status == Case.m_Status);
     }
   }
+
+  // Guards against a VM that gets no requests for its refusal of one that it
+  // must not run, although it reaches servers for the others.
+  TEST_CASE("a detour that is refused for its regions leaves others their VM") {
+    struct Row {
+      const char *m_Name;
+      std::string m_Regions; // Of the route at the VM that passes it on.
+      std::string m_RegionsAtPeer;
+    };
+    const Row Rows[] = {
+        {"both VMs restrict it", R"(["b"])", R"(["b"])"},
+        {"only the other VM restricts it", "[]", R"(["b"])"},
+        {"no region in common", R"(["b"])", R"(["a"])"},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      NodeFixture Base({});
+      Base.m_ApiKey = ApiKey;
+      node::NodeSettings PeerSettings = nodeSettings(1);
+      PeerSettings.m_Ip = peerIp();
+      PeerSettings.m_Domain = "b-1";
+      PeerSettings.m_Region = "b";
+      Metrics PeerCounters;
+      node::Node Peer(Base.m_Io, PeerCounters, PeerSettings,
+                      platform::headerNames());
+      REQUIRE(Peer.start());
+      Version Own{2};
+      Own.m_RouteRegions = Case.m_Regions;
+      applyVersion(Base.m_Node, Own, "o1");
+      Version OfPeer{2};
+      OfPeer.m_RouteRegions = Case.m_RegionsAtPeer;
+      applyVersion(Peer, OfPeer, "o1");
+      // No process listens at the address by which the first VM knows the only
+      // server, so that it takes itself for cut off.
+      Base.addServer(answerWith("a"), "s2", "a");
+      listServer(Peer, serverInfo("i-2", addressOf(Base.m_Acceptors.front()),
+                                  "s1", "a"));
+      listServer(Base.m_Node, serverInfo("i-2", "127.0.0.1:1", "s1", "a"));
+      Base.m_Node.addVms({{peerIp(), "b-1"}});
+      Peer.addVms({{nodeIp(), "a-1"}});
+      // Until each has heard the other.
+      Time Latest = now() + 20s;
+      while (Base.call({}, "/other/1").front().m_Status != 200) {
+        REQUIRE(now() < Latest);
+        Base.runFor(100ms);
+      }
+      CHECK(Base.call({}, "/read/1").front().m_Status == 503);
+      CHECK(Base.call({}, "/other/1").front().m_Status == 200);
+    }
+  }
 }
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -384,6 +384,8 @@
   // --- Requests through other VMs (NodeDetours.cpp)
   // Serves a request that another VM could not bring to a server.
   asio::awaitable<HttpResponse> serveDetour(HttpRequest Request);
+  // Returns the regions that a request may run in by this VM's configuration.
+  std::vector<std::string> regionsHere(const Exchange &Work) const;
   // Whether the request may be passed to another VM.
   bool mayDetour(const Exchange &Work) const;
   // Passes the request to other VMs until one has taken it. Returns its
--- a/tools/rhubarb-node/NodeDetours.cpp
+++ b/tools/rhubarb-node/NodeDetours.cpp
@@ -34,6 +34,16 @@
   return ErrorKind::None;
 }
 
+// Whether a VM that refuses a request so reaches no server for it.
+bool meansCannotReach(ErrorKind Kind) {
+  return Kind == ErrorKind::NoServerLeft ||
+         Kind == ErrorKind::ServerUnreachable;
+}
+
+DetourScope scopeOf(const Exchange &Work) {
+  return {Work.m_Dispatch.m_Pool, Work.m_Dispatch.m_AllowedRegions};
+}
+
 // Whether another VM would refuse the request as well.
 bool holdsForAllVms(ErrorKind Kind) {
   switch (Kind) {
@@ -76,7 +86,19 @@
   Work->m_AttemptLimit = static_cast<int>(
       std::min<std::int64_t>(Attempts, std::numeric_limits<int>::max()));
   m_Metrics.count("rhubarb_detours_taken_total");
-  co_return co_await serveExchange(std::move(Work));
+  HttpResponse Response = co_await serveExchange(Work);
+  if (meansCannotReach(refusalKind(Response)))
+    for (const std::string &Region : regionsHere(*Work))
+      Response.m_Headers.push_back({AllowedRegionHeader, Region});
+  co_return Response;
+}
+
+// A request that may run nowhere gets one region without a name, as no field at
+// all stands for every region.
+std::vector<std::string> Node::regionsHere(const Exchange &Work) const {
+  Result<FoundPolicy> Found = findPolicy(Work);
+  return Found ? Found.value().m_Policy.m_AllowedRegions
+               : std::vector<std::string>{""};
 }
 
 bool Node::mayDetour(const Exchange &Work) const {
@@ -86,7 +108,7 @@
          Work.m_DeliveredAttempts < Work.m_MaxAttempts &&
          !Work.m_RequestCancellation->cancelled() &&
          now() < Work.m_Dispatch.m_Deadline &&
-         m_Detours.mayHelp(Work.m_Dispatch.m_Pool, now());
+         m_Detours.mayHelp(scopeOf(Work), now());
 }
 
 // The body of a request with allowed regions must not leave them.
@@ -162,18 +184,18 @@
       Response = makeRefusal(Work, Refused, DetourRetryAfter);
     return DetourOutcome::Answered;
   }
-  return Refused == ErrorKind::NoServerLeft ||
-                 Refused == ErrorKind::ServerUnreachable
-             ? DetourOutcome::CannotReach
-             : DetourOutcome::Declined;
+  return meansCannotReach(Refused) ? DetourOutcome::CannotReach
+                                   : DetourOutcome::Declined;
 }
 
 asio::awaitable<std::optional<HttpResponse>> Node::detour(ExchangePtr Work) {
-  int Pool = Work->m_Dispatch.m_Pool;
+  const DetourScope Scope = scopeOf(*Work);
+  // Whether what this detour finds holds for all requests of its scope.
+  bool IsForScope = true;
   for (int Try = 1; Try <= MaxDetourTries; ++Try) {
     if (!followsConfig(*Work))
       co_return std::nullopt; // The request is decided again.
-    std::string Vm = m_Detours.choose(Pool, detourCandidates(*Work), now());
+    std::string Vm = m_Detours.choose(Scope, detourCandidates(*Work), now());
     if (Vm.empty())
       break;
     Time SentAt = now();
@@ -184,13 +206,18 @@
     int Status = Got.m_Response.m_Status;
     std::string Reason(Got.m_Response.header("Rhubarb-Reason"));
     DetourOutcome Outcome = classifyDetour(*Work, Got, Response);
+    DetourScope RefusedScope{Scope.m_Pool, {}};
+    if (Outcome == DetourOutcome::CannotReach)
+      RefusedScope.m_Regions =
+          takeFields(Got.m_Response.m_Headers, AllowedRegionHeader);
+    IsForScope = IsForScope && RefusedScope.covers(Scope);
     // The token is spent if a server may have run the request.
     if (Outcome == DetourOutcome::Broken ||
         (Response && refusalKind(*Response) == ErrorKind::None))
       Work->m_QuotaTokenExpiresAt = Time{0};
     // A caller that leaves says nothing about the VM.
     if (Got.m_Failure != HttpFailure::Cancelled)
-      m_Detours.record(Pool, Vm, Outcome, now());
+      m_Detours.record(RefusedScope, Vm, Outcome, now());
     m_Metrics.count("rhubarb_detours_total",
                     {{"outcome", std::string(detourOutcomeName(Outcome))}});
     logEvent(Severity::Info, "detour_sent",
@@ -207,8 +234,8 @@
     if (Response) {
       // Servers that no VM reaches leave the others overloaded.
       if (holdsForAllVms(refusalKind(*Response)) &&
-          !m_Dispatcher.fleet().isCutOff(Pool))
-        m_Detours.recordNone(Pool, now());
+          !m_Dispatcher.fleet().isCutOff(Scope.m_Pool))
+        m_Detours.recordNone(Scope, now());
       if (Outcome == DetourOutcome::Answered)
         logRequest(*Work, Response->m_Status, "detoured");
       co_return Response;
@@ -218,7 +245,8 @@
     if (now() >= Work->m_Dispatch.m_Deadline)
       break;
   }
-  m_Detours.recordNone(Pool, now());
+  if (IsForScope)
+    m_Detours.recordNone(Scope, now());
   co_return std::nullopt;
 }
 
