Settings: other regions of failure domains hold for listed servers at once

What callers would see: after SIGHUP (or the settings file's change, seen within 2 s) with another region for a failure domain, requests still run at its servers as in the old region, until the next update of the server list; and requests that may run in the new region are refused.

Cause: two places. applySettings marked the list as not applied, but did not apply it; a server's region is copied into its row of the fleet by applyList, which runs with a read or update of the list or a configuration. And a request whose connection to the chosen server was being opened was compared with the configuration only before it was sent.

Change: applySettings applies the list. Before a request is sent, its server's region is compared once more (Node::maySend), where the configuration is. Dispatcher::isRegionAllowed is public for that.

Test: unit.node_regions, before: 2 of 3 rows of "settings move the listed servers" failed (200 for 503 and 503 for 200; the row without restriction is the control), and "a request is withheld": the server that had left the allowed regions received 178 bytes. Both causes were seen in one run without either fix.

Not tested: queued requests, which applyList decides again by the new regions through processQueue; requests that a server has already received run to their end.

--- a/include/rhubarb/Dispatch.h
+++ b/include/rhubarb/Dispatch.h
@@ -204,6 +204,9 @@
   const SpillTable &spill() const { return m_Spill; }
   std::size_t queueLength() const { return m_Queue.size(); }
   const std::string &region() const { return m_Region; }
+  // Whether a request may run in the region of a server.
+  static bool isRegionAllowed(const DispatchRequest &Request,
+                              const BackendState &Row);
 
 private:
   struct Candidate {
@@ -215,8 +218,6 @@
   bool isDisabled(Mechanism Value) const {
     return m_Limits.m_Disabled.contains(Value);
   }
-  bool isRegionAllowed(const DispatchRequest &Request,
-                       const BackendState &Row) const;
   // Servers of a pool that are not excluded at one moment.
   struct PoolSnapshot {
     std::vector<Candidate> m_Ready;
--- a/lib/Dispatch.cpp
+++ b/lib/Dispatch.cpp
@@ -122,7 +122,7 @@
       m_Random(Seed), m_Affinity(m_Limits.m_WarmTtl) {}
 
 bool Dispatcher::isRegionAllowed(const DispatchRequest &Request,
-                                 const BackendState &Row) const {
+                                 const BackendState &Row) {
   if (Request.m_AllowedRegions.empty())
     return true;
   return std::find(Request.m_AllowedRegions.begin(),
--- a/test/NodeRegionsTest.cpp
+++ b/test/NodeRegionsTest.cpp
@@ -190,6 +190,13 @@
   CHECK(*RequestsInB == RequestsBefore);
 }
 
+// Returns the node's settings with failure domain "b-1" in another region.
+node::NodeSettings settingsWithMovedDomain() {
+  node::NodeSettings Settings = nodeSettings(1);
+  Settings.m_RegionOf["b-1"] = "c";
+  return Settings;
+}
+
 std::vector<Change> changesOf(Holder Changed) {
   Version Moved{3};
   Version Widened{3};
@@ -320,4 +327,60 @@
       CHECK(Base.call({}, "/other/1").front().m_Status == 200);
     }
   }
+
+  // Guards against requests that run outside their allowed regions because a
+  // server still counts for the region that the replaced settings name.
+  TEST_CASE("settings move the listed servers to other regions at once") {
+    struct Row {
+      const char *m_Name;
+      std::string m_RouteRegions;
+      int m_Before;
+      int m_After;
+    };
+    const Row Rows[] = {
+        {"out of the allowed regions", R"(["b"])", 200, 503},
+        {"into the allowed regions", R"(["c"])", 503, 200},
+        {"no restriction", "[]", 200, 200},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      RegionsFixture Fixture;
+      NodeFixture &Base = Fixture.m_Base;
+      Base.addServer(answerWith("b"), "s1", "b");
+      Version Own{2};
+      Own.m_RouteRegions = Case.m_RouteRegions;
+      Fixture.apply(Own);
+      CHECK(Base.call({}, "/read/1").front().m_Status == Case.m_Before);
+      Base.m_Node.applySettings(settingsWithMovedDomain());
+      CHECK(Base.call({}, "/read/1").front().m_Status == Case.m_After);
+    }
+  }
+
+  // Guards against a request that is sent to the server that was chosen by the
+  // replaced settings, while the connection to it was being opened.
+  TEST_CASE("a request is withheld from a server that has left its regions") {
+    RegionsFixture Fixture;
+    NodeFixture &Base = Fixture.m_Base;
+    tcp::acceptor Server(Base.m_Io,
+                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Server.non_blocking(true);
+    listServer(Base.m_Node, serverInfo("i-1", addressOf(Server), "s1", "b"));
+    Version Own{2};
+    Own.m_RouteRegions = R"(["b"])";
+    Fixture.apply(Own);
+    Received Got;
+    Base.start({}, "/read/1", ClientEnd{}, Got);
+    tcp::socket Accepted(Base.m_Io);
+    boost::system::error_code Error = asio::error::would_block;
+    Base.m_Io.restart();
+    while (Error) {
+      REQUIRE(Base.m_Io.run_one() == 1);
+      Server.accept(Accepted, Error);
+    }
+    REQUIRE(Accepted.available() == 0);
+    Base.m_Node.applySettings(settingsWithMovedDomain());
+    Base.finish();
+    CHECK(Got.m_Status == 503);
+    CHECK(Accepted.available() == 0);
+  }
 }
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -298,7 +298,6 @@
       Next.m_DetourPort != m_Settings.m_DetourPort)
     NeedRestart.emplace_back("ports");
   m_Settings.m_RegionOf = Next.m_RegionOf;
-  m_AppliedListChanges = 0; // Regions of servers may have changed.
   m_Settings.m_LookupTtl = Next.m_LookupTtl;
   m_Settings.m_GracePeriod = Next.m_GracePeriod;
   m_Settings.m_CpuShare = Next.m_CpuShare;
@@ -314,6 +313,8 @@
   configureQuotas(); // The regions may have changed as well.
   for (const std::string &Seed : Next.m_Seeds)
     addKnownVm(Seed, "");
+  m_AppliedListChanges = 0; // Regions of servers may have changed.
+  applyList();
   return NeedRestart;
 }
 
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -296,6 +296,8 @@
   // Whether the configuration in force decides as the one that has decided the
   // request last.
   bool followsConfig(Exchange &Work) const;
+  // Whether the request may be sent to the server that was chosen for it.
+  bool maySend(Exchange &Work) const;
   // Decides a request by the configuration in force. Returns why it is refused,
   // or None.
   ErrorKind applyPolicy(Exchange &Work);
--- a/tools/rhubarb-node/NodePolicy.cpp
+++ b/tools/rhubarb-node/NodePolicy.cpp
@@ -44,6 +44,14 @@
   return true;
 }
 
+// Settings may have moved the server to another region.
+bool Node::maySend(Exchange &Work) const {
+  return followsConfig(Work) &&
+         Dispatcher::isRegionAllowed(
+             Work.m_Dispatch,
+             m_Dispatcher.fleet().row(Work.m_Decision.m_Server));
+}
+
 ErrorKind Node::applyPolicy(Exchange &Work) {
   bool IsNew = Work.m_ConfigRevision == 0;
   std::uint64_t Before = Work.m_ConfigRevision;
--- a/tools/rhubarb-node/NodeRequests.cpp
+++ b/tools/rhubarb-node/NodeRequests.cpp
@@ -211,7 +211,7 @@
         Kind = Last ? Last->m_Error : ErrorKind::ServerCut;
       co_return makeRefusal(*Work, Kind, Work->m_Decision.m_RetryAfter);
     }
-    if (!followsConfig(*Work)) {
+    if (!maySend(*Work)) {
       releaseServer(*Work);
       continue;
     }
@@ -411,7 +411,7 @@
   Options.m_MatchesRequest = [Id, IdName](const HttpResponse &Response) {
     return Response.header(IdName) == Id;
   };
-  Options.m_MaySend = [this, Work] { return followsConfig(*Work); };
+  Options.m_MaySend = [this, Work] { return maySend(*Work); };
   HttpRequest Request = makeServerRequest(*Work);
   bool Streaming = Request.m_BodyStream != nullptr;
   ++Work->m_TotalAttempts;
