--- a/test/NodeRegionsTest.cpp
+++ b/test/NodeRegionsTest.cpp
@@ -31,7 +31,7 @@
 constexpr const char *ApiKey = "k1";
 constexpr const char *OtherRoute =
     R"({"name":"other","prefix":"/other/","route_type":"safe","timeout":"3000ms",
-"priority":2,"service":"s2","max_attempts":2,"allowed_regions":[]})";
+"priority":2,"service":"s1","max_attempts":2,"allowed_regions":[]})";
 
 std::string configText(const Version &Of, const std::string &Organisation) {
   std::string Read =
@@ -190,6 +190,13 @@
   CHECK(*RequestsInB == RequestsBefore);
 }
 
+// Returns the node's settings with failure domain "b-1" in another region.
+node::NodeSettings settingsWithMovedDomain() {
+  node::NodeSettings Settings = nodeSettings(1);
+  Settings.m_RegionOf["b-1"] = "c";
+  return Settings;
+}
+
 std::vector<Change> changesOf(Holder Changed) {
   Version Moved{3};
   Version Widened{3};
@@ -270,4 +277,110 @@
       CHECK(Got.m_Status == Case.m_Status);
     }
   }
+
+  // Guards against a VM that gets no requests for its refusal of one that it
+  // must not run, although it reaches servers for the others.
+  TEST_CASE("a detour that is refused for its regions leaves others their VM") {
+    struct Row {
+      const char *m_Name;
+      std::string m_Regions; // Of the route at the VM that passes it on.
+      std::string m_RegionsAtPeer;
+    };
+    const Row Rows[] = {
+        {"both VMs restrict it", R"(["b"])", R"(["b"])"},
+        {"only the other VM restricts it", "[]", R"(["b"])"},
+        {"no region in common", R"(["b"])", R"(["a"])"},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      NodeFixture Base({});
+      Base.m_ApiKey = ApiKey;
+      node::NodeSettings PeerSettings = nodeSettings(1);
+      PeerSettings.m_Ip = peerIp();
+      PeerSettings.m_Domain = "b-1";
+      PeerSettings.m_Region = "b";
+      Metrics PeerCounters;
+      node::Node Peer(Base.m_Io, PeerCounters, PeerSettings,
+                      platform::headerNames());
+      REQUIRE(Peer.start());
+      Version Own{2};
+      Own.m_RouteRegions = Case.m_Regions;
+      applyVersion(Base.m_Node, Own, "o1");
+      Version OfPeer{2};
+      OfPeer.m_RouteRegions = Case.m_RegionsAtPeer;
+      applyVersion(Peer, OfPeer, "o1");
+      // No process listens at the address by which the first VM knows the only
+      // server, so that it takes itself for cut off.
+      Base.addServer(answerWith("a"), "s2", "a");
+      listServer(Peer, serverInfo("i-2", addressOf(Base.m_Acceptors.front()),
+                                  "s1", "a"));
+      listServer(Base.m_Node, serverInfo("i-2", "127.0.0.1:1", "s1", "a"));
+      Base.m_Node.addVms({{peerIp(), "b-1"}});
+      Peer.addVms({{nodeIp(), "a-1"}});
+      // Until each has heard the other.
+      Time Latest = now() + 20s;
+      while (Base.call({}, "/other/1").front().m_Status != 200) {
+        REQUIRE(now() < Latest);
+        Base.runFor(100ms);
+      }
+      CHECK(Base.call({}, "/read/1").front().m_Status == 503);
+      CHECK(Base.call({}, "/other/1").front().m_Status == 200);
+    }
+  }
+
+  // Guards against requests that run outside their allowed regions because a
+  // server still counts for the region that the replaced settings name.
+  TEST_CASE("settings move the listed servers to other regions at once") {
+    struct Row {
+      const char *m_Name;
+      std::string m_RouteRegions;
+      int m_Before;
+      int m_After;
+    };
+    const Row Rows[] = {
+        {"out of the allowed regions", R"(["b"])", 200, 503},
+        {"into the allowed regions", R"(["c"])", 503, 200},
+        {"no restriction", "[]", 200, 200},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      RegionsFixture Fixture;
+      NodeFixture &Base = Fixture.m_Base;
+      Base.addServer(answerWith("b"), "s1", "b");
+      Version Own{2};
+      Own.m_RouteRegions = Case.m_RouteRegions;
+      Fixture.apply(Own);
+      CHECK(Base.call({}, "/read/1").front().m_Status == Case.m_Before);
+      Base.m_Node.applySettings(settingsWithMovedDomain());
+      CHECK(Base.call({}, "/read/1").front().m_Status == Case.m_After);
+    }
+  }
+
+  // Guards against a request that is sent to the server that was chosen by the
+  // replaced settings, while the connection to it was being opened.
+  TEST_CASE("a request is withheld from a server that has left its regions") {
+    RegionsFixture Fixture;
+    NodeFixture &Base = Fixture.m_Base;
+    tcp::acceptor Server(Base.m_Io,
+                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Server.non_blocking(true);
+    listServer(Base.m_Node, serverInfo("i-1", addressOf(Server), "s1", "b"));
+    Version Own{2};
+    Own.m_RouteRegions = R"(["b"])";
+    Fixture.apply(Own);
+    Received Got;
+    Base.start({}, "/read/1", ClientEnd{}, Got);
+    tcp::socket Accepted(Base.m_Io);
+    boost::system::error_code Error = asio::error::would_block;
+    Base.m_Io.restart();
+    while (Error) {
+      REQUIRE(Base.m_Io.run_one() == 1);
+      Server.accept(Accepted, Error);
+    }
+    REQUIRE(Accepted.available() == 0);
+    Base.m_Node.applySettings(settingsWithMovedDomain());
+    Base.finish();
+    CHECK(Got.m_Status == 503);
+    CHECK(Accepted.available() == 0);
+  }
 }
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -296,6 +296,8 @@
   // Whether the configuration in force decides as the one that has decided the
   // request last.
   bool followsConfig(Exchange &Work) const;
+  // Whether the request may be sent to the server that was chosen for it.
+  bool maySend(Exchange &Work) const;
   // Decides a request by the configuration in force. Returns why it is refused,
   // or None.
   ErrorKind applyPolicy(Exchange &Work);
@@ -384,6 +386,8 @@
   // --- Requests through other VMs (NodeDetours.cpp)
   // Serves a request that another VM could not bring to a server.
   asio::awaitable<HttpResponse> serveDetour(HttpRequest Request);
+  // Returns the regions that a request may run in by this VM's configuration.
+  std::vector<std::string> regionsHere(const Exchange &Work) const;
   // Whether the request may be passed to another VM.
   bool mayDetour(const Exchange &Work) const;
   // Passes the request to other VMs until one has taken it. Returns its
