--- a/test/StoreTransferTest.cpp
+++ b/test/StoreTransferTest.cpp
@@ -211,8 +211,9 @@
     };
     for (const Row &Case : Rows) {
       CAPTURE(Case.m_Name);
-      RawAnswer Answer = makeSlowAnswer(StoreCall::Watch, Length,
-                                        Case.m_Framing, Case.m_ValueBytes);
+      RawAnswer Answer = makeEvenAnswer(
+          makeAnswer(StoreCall::Watch, Case.m_ValueBytes, Case.m_Framing),
+          Length);
       CallEnd End = callStore(StoreCall::Watch, Answer, 0ms, Case.m_MaxBytes);
       CHECK(storeStatusName(End.m_Status) == Case.m_Status);
       CHECK(End.m_Took < Case.m_EndsBefore);
