--- a/include/rhubarb/Detours.h
+++ b/include/rhubarb/Detours.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace rhubarb {
@@ -24,7 +25,10 @@
 
   // Whether all servers of the other scope are in this one.
   bool covers(const DetourScope &Other) const;
-  auto operator<=>(const DetourScope &) const = default;
+  bool operator<(const DetourScope &Other) const {
+    return std::tie(m_Pool, m_Regions) <
+           std::tie(Other.m_Pool, Other.m_Regions);
+  }
 };
 
 // What became of a request that was passed to another VM.
