Log what a planned stop has under way, and what it cuts

Cause: `drained under_way=` is the counter by which the process decides that it may end, so it can't tell whether the counter is wrong.

Change: each connection lists its requests from their first byte until their connection has taken the response, with the stage that they have reached. `HttpServer::openRequests` reports them. `port_closed` and `drained` tell their number by stage, the open connections and those with unread bytes; `request_cut` names each request that the end of the process cuts. No decision depends on it: `hasRequests` is as before.

--- a/net/Http.h
+++ b/net/Http.h
@@ -129,6 +129,10 @@
   std::size_t m_Bytes = 0;
 };
 
+// Returns the value of the first header field with a name, or an empty string.
+std::string_view findHeader(const std::vector<HeaderField> &Fields,
+                            std::string_view Name);
+
 // A request. The body is complete unless m_BodyStream is set.
 struct HttpRequest {
   std::string m_Method = "GET";
@@ -208,6 +212,28 @@
 // Returns the limits for ports that serve control-plane messages.
 HttpServerLimits controlServerLimits();
 
+// How far a server has come with a request.
+enum class RequestStage : std::uint8_t {
+  Head,    // Its head arrives.
+  Body,    // Its body arrives, and its handler has not started.
+  Running, // Its handler runs.
+  Ready,   // Its response waits for those before it, or for the reader.
+  Writing, // Its response is written.
+  Closing, // Its response is written, and its connection is being closed.
+};
+// Returns the name used in logs.
+std::string_view requestStageName(RequestStage Value);
+
+// A request between its first byte and the end of its response, as a server
+// reports it.
+struct OpenRequest {
+  RequestStage m_Stage = RequestStage::Head;
+  Duration m_Age{0}; // Since its first byte was read.
+  std::string m_PeerIp;
+  std::string m_Target;               // Empty until the head is complete.
+  std::vector<HeaderField> m_Headers; // Empty until the head is complete.
+};
+
 // Accepts connections and passes each request to a handler.
 class HttpServer {
 public:
@@ -229,6 +255,12 @@
   // Whether requests are in progress, or have arrived and are still to be read.
   bool hasRequests() const;
   int connections() const { return static_cast<int>(m_Connections.size()); }
+  // Returns the requests that have been read at least in part, and whose
+  // responses are not completely written or whose connections are being closed.
+  std::vector<OpenRequest> openRequests() const;
+  // Returns the number of connections on which bytes have arrived that belong
+  // to none of these requests.
+  int unreadConnections() const;
   // Sets the hook called for each request that is refused before the handler
   // runs.
   void onRefusal(std::function<void(ErrorKind)> Hook) {
@@ -260,8 +292,11 @@
                                        HttpRequest Request);
   // Runs the handler. The caller watches for a disconnect.
   asio::awaitable<HttpResponse> runHandler(HttpRequest Request);
-  asio::awaitable<bool> respond(ConnectionPtr Client, HttpResponse Response,
-                                bool KeepAlive, bool IsHead,
+  // Writes the response to a request that the caller keeps until the end.
+  // Returns whether the connection can be reused.
+  asio::awaitable<bool> respond(ConnectionPtr Client, ReceivedRequest &To,
+                                HttpResponse Response, bool KeepAlive,
+                                bool IsHead,
                                 BodyStreamPtr RequestBody = nullptr);
   asio::awaitable<void> waitForBodyReader(ConnectionPtr Client,
                                           BodyStreamPtr Body);
--- a/net/HttpMessages.cpp
+++ b/net/HttpMessages.cpp
@@ -16,6 +16,8 @@
                     [&](char X, char Y) { return Lower(X) == Lower(Y); });
 }
 
+} // namespace
+
 std::string_view findHeader(const std::vector<HeaderField> &Fields,
                             std::string_view Name) {
   for (const HeaderField &Field : Fields)
@@ -24,8 +26,6 @@
   return {};
 }
 
-} // namespace
-
 bool BufferBudget::tryAdd(std::size_t Bytes, std::size_t KeepFree) {
   std::size_t Left = leftBytes();
   if (Bytes > Left || Left - Bytes < KeepFree)
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -14,6 +14,10 @@
 namespace {
 
 using asio::ip::tcp;
+
+constexpr std::array<std::string_view, 6> StageNames{
+    "head", "body", "running", "ready", "writing", "closing"};
+
 using RequestParser = http::request_parser<http::buffer_body>;
 
 // Limit on the bodies of control requests; fits snapshots and key handovers.
@@ -145,6 +149,10 @@
 
 } // namespace
 
+std::string_view requestStageName(RequestStage Value) {
+  return StageNames[static_cast<std::size_t>(Value)];
+}
+
 void Cancellation::cancel() {
   m_Cancelled = true;
   if (auto Hook = std::exchange(m_Hook, nullptr))
@@ -204,13 +212,25 @@
   bool m_WriteBlocked = false;        // A write waits for the client to read.
   std::function<void()> m_OnWritable; // Called when such a write has ended.
   std::string m_PeerIp;
+  std::vector<const ReceivedRequest *> m_Requests; // In the order of reading.
   bool m_RequestInProgress = false;
   // The connection exceeds a connection limit; its first request is refused.
   bool m_OverLimit = false;
 };
 
-// A request, and why it could not be read.
+// A request, and why it could not be read. Its connection lists it while it
+// exists.
 struct HttpServer::ReceivedRequest {
+  explicit ReceivedRequest(ConnectionPtr Client) : m_Client(std::move(Client)) {
+    m_Client->m_Requests.push_back(this);
+  }
+  ~ReceivedRequest() { std::erase(m_Client->m_Requests, this); }
+  ReceivedRequest(const ReceivedRequest &) = delete;
+  ReceivedRequest &operator=(const ReceivedRequest &) = delete;
+
+  ConnectionPtr m_Client;
+  RequestStage m_Stage = RequestStage::Head;
+  Time m_BegunAt = now(); // When its first byte was read.
   std::shared_ptr<RequestParser> m_Parser;
   boost::system::error_code m_Error;
   bool m_BuffersFull = false;
@@ -393,8 +413,9 @@
   if (!HasWholeBody || EndsPlanned)
     Item->m_Response.m_CloseConnection = true;
   bool IsHead = Parser.get().method() == http::verb::head;
-  co_return co_await m_Server.respond(m_Client, std::move(Item->m_Response),
-                                      KeepAlive, IsHead, Item->m_RequestBody);
+  co_return co_await m_Server.respond(m_Client, *Item->m_Received,
+                                      std::move(Item->m_Response), KeepAlive,
+                                      IsHead, Item->m_RequestBody);
 }
 
 asio::awaitable<bool> HttpServer::Pipeline::endsPlanned() {
@@ -480,7 +501,7 @@
     co_return false;
   m_Client->m_RequestInProgress = true;
   m_ReadsRequest = true;
-  auto Received = std::make_shared<ReceivedRequest>();
+  auto Received = std::make_shared<ReceivedRequest>(m_Client);
   Stream.expires_never();
   setReadTimeout(m_Server.m_Limits.m_HeaderTimeout);
   m_ReadsSocket = true;
@@ -510,6 +531,7 @@
     if (!Refusal)
       co_return false;
     Item->m_Response = std::move(*Refusal);
+    Received->m_Stage = RequestStage::Ready;
     Item->m_IsDone = true;
     m_Entries.push_back(std::move(Item));
     co_return false;
@@ -525,11 +547,13 @@
         co_await Self->handleEntry(std::move(Started));
       }(shared_from_this(), Item),
       asio::detached);
+  bool IsLast = !Received->m_Parser->keep_alive();
+  Received
+      .reset(); // The entry keeps the request until its response is written.
   // A body is read by its handler; the next request comes after it. Behind a
   // request that ends the connection there is none.
   while (HasBody && !m_Entries.empty() && !m_StopReading)
     co_await waitForChange();
-  bool IsLast = !Received->m_Parser->keep_alive();
   while (IsLast && !m_Entries.empty() && !m_StopReading)
     co_await waitUnread();
   co_return !m_StopReading && !IsLast;
@@ -542,6 +566,7 @@
   // clients have disconnected.
   if (!HasBody && hasPeerClosed(m_Client->m_Stream.socket()))
     Item->m_State->m_Closed = true;
+  Item->m_Received->m_Stage = RequestStage::Running;
   if (HasBody)
     Item->m_Response = co_await m_Server.handle(m_Client, std::move(Request));
   else
@@ -552,6 +577,7 @@
     Response.m_Buffered = std::make_shared<BufferedBytes>(Budget);
     Response.m_Buffered->set(Response.m_Body.size());
   }
+  Item->m_Received->m_Stage = RequestStage::Ready;
   Item->m_IsDone = true;
   notify();
 }
@@ -698,6 +724,7 @@
   beast::tcp_stream &Stream = Client->m_Stream;
   RequestParser &Parser = *Into->m_Parser;
   boost::system::error_code &Error = Into->m_Error;
+  Into->m_Stage = RequestStage::Body;
   if (Into->m_BuffersFull)
     co_return; // Refused before its body is read.
   if (!Error && !Parser.is_done() &&
@@ -790,7 +817,7 @@
   }
   // From here on, stopAccepting() lets the request finish.
   Client->m_RequestInProgress = true;
-  auto Received = std::make_shared<ReceivedRequest>();
+  auto Received = std::make_shared<ReceivedRequest>(Client);
   Stream.expires_after(m_Limits.m_HeaderTimeout);
   co_await receiveHead(Client, Received);
   // Clients behind a simulated partition get no response.
@@ -801,7 +828,8 @@
     std::optional<HttpResponse> Refusal = refusalOf(*Client, *Received);
     if (!Refusal)
       co_return false;
-    bool Ignored = co_await respond(Client, std::move(*Refusal), false, false);
+    bool Ignored =
+        co_await respond(Client, *Received, std::move(*Refusal), false, false);
     // The connection is closed whatever respond() returns.
     co_return Ignored && false;
   }
@@ -809,6 +837,7 @@
   bool IsHead = Parser->get().method() == http::verb::head;
   bool KeepAlive = Parser->get().keep_alive();
   BodyStreamPtr RequestBody = Received->m_Request.m_BodyStream;
+  Received->m_Stage = RequestStage::Running;
   HttpResponse Response =
       co_await handle(Client, std::move(Received->m_Request));
   // The partition may have begun while the request was handled.
@@ -820,8 +849,8 @@
   // The client may still be sending, which requires a lingering close.
   if (!Parser->is_done() || EndsPlanned)
     Response.m_CloseConnection = true;
-  co_return co_await respond(Client, std::move(Response), KeepAlive, IsHead,
-                             std::move(RequestBody));
+  co_return co_await respond(Client, *Received, std::move(Response), KeepAlive,
+                             IsHead, std::move(RequestBody));
 }
 
 // Runs the handler while watching for the client to disconnect.
@@ -852,13 +881,14 @@
   co_return Response;
 }
 
-// Writes a response. Returns whether the connection can be reused.
 asio::awaitable<bool> HttpServer::respond(ConnectionPtr Client,
+                                          ReceivedRequest &To,
                                           HttpResponse Response, bool KeepAlive,
                                           bool IsHead,
                                           BodyStreamPtr RequestBody) {
   if (Response.m_AbortConnection)
     co_return false;
+  To.m_Stage = RequestStage::Writing;
   beast::tcp_stream &Stream = Client->m_Stream;
   bool Chunked = false;
   std::string Text = responseHead(Response, KeepAlive, IsHead, Chunked);
@@ -910,6 +940,7 @@
       break;
   }
   if (!Error && Response.m_CloseConnection) {
+    To.m_Stage = RequestStage::Closing;
     boost::system::error_code Ignored;
     Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
     if (RequestBody)
@@ -947,6 +978,30 @@
                      });
 }
 
+std::vector<OpenRequest> HttpServer::openRequests() const {
+  std::vector<OpenRequest> Open;
+  for (const ConnectionPtr &Client : m_Connections)
+    for (const ReceivedRequest *Row : Client->m_Requests) {
+      OpenRequest &Request = Open.emplace_back();
+      Request.m_Stage = Row->m_Stage;
+      Request.m_Age = now() - Row->m_BegunAt;
+      Request.m_PeerIp = Client->m_PeerIp;
+      if (!Row->m_Parser || !Row->m_Parser->is_header_done())
+        continue;
+      Request.m_Target = Row->m_Parser->get().target();
+      Request.m_Headers = copyHeaders(Row->m_Parser->get());
+    }
+  return Open;
+}
+
+int HttpServer::unreadConnections() const {
+  return static_cast<int>(std::count_if(
+      m_Connections.begin(), m_Connections.end(),
+      [](const ConnectionPtr &Client) {
+        return Client->m_Requests.empty() && Client->hasUnreadBytes();
+      }));
+}
+
 bool HttpServer::mayReadOn(Connection &Client) const {
   if (!isStopping())
     return true;
--- a/net/LogReader.cpp
+++ b/net/LogReader.cpp
@@ -15,11 +15,11 @@
 constexpr std::int64_t StateChangeLookbackMillis = 5000;
 
 // Events that concern a process's whole state rather than one server.
-constexpr std::array<std::string_view, 14> GlobalEvents{
+constexpr std::array<std::string_view, 15> GlobalEvents{
     "config_in_force", "config_unreadable", "evacuated_domains", "store_lost",
     "store_regained",  "list_from_peer",    "servers_listed",    "started",
-    "stopping",        "drained",           "stopped",           "stood_still",
-    "settings_taken",  "vm_state"};
+    "stopping",        "port_closed",       "drained",           "stopped",
+    "stood_still",     "settings_taken",    "vm_state"};
 
 // Statuses that guarantee that the request was not executed.
 constexpr std::array<std::string_view, 4> NotExecutedStatuses{"408", "421",
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -273,19 +273,51 @@
     co_await sleepFor(TickInterval);
   m_CallerServer.stopAccepting();
   m_DetourServer.stopAccepting();
-  auto UnderWay = [this] {
-    return m_CallerServer.activeRequests() + m_DetourServer.activeRequests();
-  };
+  logOpenRequests("port_closed");
   // Requests that arrived with the stop start only after it.
   do
     co_await sleepFor(TickInterval);
   while (now() < End &&
          (m_CallerServer.hasRequests() || m_DetourServer.hasRequests()));
-  logEvent(Severity::Info, "drained",
-           {{"under_way", std::to_string(UnderWay())}});
+  logOpenRequests("drained");
+  for (const HttpServer *Server : {&m_CallerServer, &m_DetourServer})
+    for (const OpenRequest &Cut : Server->openRequests())
+      logEvent(Severity::Warning, "request_cut",
+               {{"id", std::string(findHeader(Cut.m_Headers,
+                                              m_HeaderNames.m_RequestId))},
+                {"port", Server == &m_CallerServer ? "callers" : "detours"},
+                {"peer", Cut.m_PeerIp},
+                {"target", Cut.m_Target},
+                {"stage", std::string(requestStageName(Cut.m_Stage))},
+                {"ms", std::to_string(Cut.m_Age / 1ms)}});
   m_Stopped = true;
 }
 
+void Node::logOpenRequests(std::string_view Event) const {
+  std::map<RequestStage, int> Stages;
+  int UnderWay = 0;
+  int Connections = 0;
+  int Unread = 0;
+  for (const HttpServer *Server : {&m_CallerServer, &m_DetourServer}) {
+    for (const OpenRequest &Open : Server->openRequests()) {
+      ++Stages[Open.m_Stage];
+      ++UnderWay;
+    }
+    Connections += Server->connections();
+    Unread += Server->unreadConnections();
+  }
+  std::string Text;
+  for (auto [Stage, Count] : Stages)
+    Text += (Text.empty() ? "" : ",") + std::string(requestStageName(Stage)) +
+            ":" + std::to_string(Count);
+  logEvent(Severity::Info, Event,
+           {{"under_way", std::to_string(UnderWay)},
+            {"stages", Text},
+            {"connections", std::to_string(Connections)},
+            {"unread", std::to_string(Unread)},
+            {"after_ms", std::to_string((now() - m_LeavingSince) / 1ms)}});
+}
+
 std::vector<std::string> Node::applySettings(const NodeSettings &Next) {
   std::vector<std::string> NeedRestart;
   if (Next.m_Ip != m_Settings.m_Ip || Next.m_Domain != m_Settings.m_Domain ||
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -407,6 +407,8 @@
   // --- Periodic work and health (Node.cpp)
   // Returns when a process that is shutting down ends.
   Time stopTime() const;
+  // Logs how far the requests on the ports for callers and detours have come.
+  void logOpenRequests(std::string_view Event) const;
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> healthCheckLoop();
   // Keeps connections open to the servers of other regions that the region's
