--- a/test/NodeStopTest.cpp
+++ b/test/NodeStopTest.cpp
@@ -1,6 +1,9 @@
 // Planned stops of a node whose callers send further requests before the
 // response to an earlier one.
 #include "test/NodeFixture.h"
+#include "test/RawResponses.h"
+
+#include <thread>
 
 using namespace rhubarb;
 using namespace rhubarb::test;
@@ -19,6 +22,14 @@
     "X-Rhubarbstack-Request-Id: r1\r\nContent-Length: 4\r\n"
     "X-Rhubarbstack-Request-Deadline: 3000\r\n\r\nbody";
 
+std::string upload(std::size_t Bytes, const std::string &Fields) {
+  return "POST /pay/1 HTTP/1.1\r\nHost: x.example\r\n"
+         "X-Rhubarbstack-Request-Id: r1\r\n" +
+         Fields + "Content-Length: " + std::to_string(Bytes) +
+         "\r\nX-Rhubarbstack-Request-Deadline: 3000\r\n\r\n" +
+         std::string(Bytes, 'u');
+}
+
 // Leaves each server with spare slots for all requests of a row.
 constexpr std::size_t AmpleSlots = 32;
 
@@ -48,31 +59,16 @@
   std::size_t m_Others = 0; // Incomplete responses too.
 };
 
-// Splits the received bytes by the lengths that the responses name.
-AnswerCounts countAnswers(std::string_view Rest) {
-  constexpr std::string_view HeadEnd = "\r\n\r\n";
-  constexpr std::string_view LengthField = "\r\nContent-Length: ";
+AnswerCounts countAnswers(std::string_view Text) {
   AnswerCounts Counts;
-  while (!Rest.empty()) {
-    std::size_t HeadBytes = Rest.find(HeadEnd);
-    std::string_view Head = Rest.substr(0, HeadBytes);
-    std::size_t LengthAt = Head.find(LengthField);
-    if (HeadBytes == std::string_view::npos ||
-        LengthAt == std::string_view::npos) {
-      ++Counts.m_Others;
-      break;
-    }
-    std::size_t BodyBytes =
-        std::stoul(std::string(Head.substr(LengthAt + LengthField.size())));
-    Rest.remove_prefix(HeadBytes + HeadEnd.size());
-    std::string_view Body = Rest.substr(0, BodyBytes);
-    Rest.remove_prefix(Body.size());
-    bool IsRefusal = Head.starts_with("HTTP/1.1 503 ") &&
-                     Body.size() == BodyBytes &&
-                     Head.find("\r\nRetry-After: ") != std::string_view::npos &&
-                     Head.find("\r\nRhubarb-Reason: wait_too_long\r\n") !=
-                         std::string_view::npos;
-    if (Head.starts_with("HTTP/1.1 200 ") && Body == "sound")
+  for (const RawResponse &Row : splitResponses(Text)) {
+    bool IsRefusal =
+        Row.m_IsWhole && Row.m_Head.starts_with("HTTP/1.1 503 ") &&
+        Row.m_Head.find("\r\nRetry-After: ") != std::string_view::npos &&
+        Row.m_Head.find("\r\nRhubarb-Reason: wait_too_long\r\n") !=
+            std::string_view::npos;
+    if (Row.m_IsWhole && Row.m_Head.starts_with("HTTP/1.1 200 ") &&
+        Row.m_Body == "sound")
       ++Counts.m_Successes;
     else if (IsRefusal)
       ++Counts.m_Refusals;
@@ -141,3 +137,68 @@
     }
   }
 }
+
+TEST_SUITE("node_stop_ready") {
+  // Guards against responses that are ready when the process of a planned stop
+  // ends, and are never written.
+  TEST_CASE("a planned stop writes the responses that become ready together") {
+    struct Row {
+      const char *m_Name;
+      int m_PipelinedRequests;
+      std::string m_Text;
+      std::size_t m_Callers;
+    };
+    const Row Rows[] = {
+        {"requests without a body", 8, get("/read/1"), 20},
+        {"short uploads", 8, upload(1000, ""), 20},
+        {"uploads", 8, upload(60000, ""), 20},
+        {"the last request of each connection", 8,
+         upload(60000, "Connection: close\r\n"), 20},
+        {"streamed uploads", 8, upload(200000, ""), 20},
+        {"one upload", 8, upload(1000, ""), 1},
+        {"short uploads, one by one", 1, upload(1000, ""), 20},
+    };
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      std::size_t Answered = 0;
+      RawAnswer Sound{head() + "Content-Length: 5\r\n\r\nsound",
+                      ConnectionEnd::Close, false, 700ms};
+      // The process gets no processor time while all responses arrive.
+      Sound.m_OnAnswered = [&] {
+        if (++Answered == Case.m_Callers)
+          std::this_thread::sleep_for(50ms);
+      };
+      NodeFixture Fixture({Sound}, Case.m_PipelinedRequests, 2 * AmpleSlots);
+      std::vector<std::string> Received(Case.m_Callers);
+      std::deque<tcp::socket> Sockets;
+      asio::co_spawn(Fixture.m_Io, stopAfter(Fixture.m_Node, 0ms),
+                     [&](const std::exception_ptr &) { Fixture.m_Io.stop(); });
+      // Ends after the port has closed, so that nothing else keeps the process.
+      asio::co_spawn(
+          Fixture.m_Io,
+          [&]() -> asio::awaitable<void> {
+            co_await sleepFor(2450ms);
+            for (std::string &One : Received) {
+              tcp::socket &Socket = Sockets.emplace_back(Fixture.m_Io);
+              Socket.connect({asio::ip::make_address(nodeIp()), CallerPort});
+              asio::co_spawn(Fixture.m_Io,
+                             exchangeRaw(Socket, Case.m_Text, One),
+                             asio::detached);
+            }
+          },
+          asio::detached);
+      Fixture.finish();
+      Fixture.m_Io.restart();
+      std::size_t Whole = 0;
+      for (std::size_t I = 0; I < Case.m_Callers; ++I) {
+        boost::system::error_code Error;
+        std::string Rest(4096, '\0');
+        Sockets[I].non_blocking(true);
+        Rest.resize(Sockets[I].read_some(asio::buffer(Rest), Error));
+        Whole += countAnswers(Received[I] + Rest).m_Successes;
+      }
+      CHECK(Answered == Case.m_Callers);
+      CHECK(Whole == Case.m_Callers);
+    }
+  }
+}
--- a/test/RawExchange.h
+++ b/test/RawExchange.h
@@ -43,7 +43,8 @@
   // 0: not in fragments.
   std::size_t m_FragmentBytes = 0;
   Duration m_FragmentInterval{0};
-  Duration m_PauseInMiddle{0}; // After half of the fragments.
+  Duration m_PauseInMiddle{0};                  // After half of the fragments.
+  std::function<void()> m_OnAnswered = nullptr; // Called behind m_Text.
 };
 
 // Closes a connection with a reset.
@@ -117,6 +118,8 @@
     if (Answer.m_SendsBytewise)
       co_await sleepFor(500us);
   }
+  if (Answer.m_OnAnswered)
+    Answer.m_OnAnswered();
   bool IsOpen = !Answer.m_RepeatedText.empty();
   while (IsOpen) {
     auto [Error, Bytes] = co_await asio::async_write(
