A stopping process ends with its connections, not between a response and its writing

Cause: `Node::stop` looked every 20 ms whether a handler ran, a response was being written or bytes were unread. A request is none of these while its response waits for the connection's coroutine or reader, while its head or body arrives, and while its connection is being closed. A process that got no processor time for some milliseconds found its timer and the server's response together, and ended between the end of the handler and the write. The class of fault: a momentary zero of counters that don't meet, taken for the end of all work.

Change: a request belongs to its connection from its first byte until the client has taken the response. A scope guard lists each connection from its acceptance to its end, refused ones too, and the process waits until none is left (`HttpServer::hasConnections`). After `stopAccepting` each connection ends by itself, so the wait ends as well. So that a client that stops in the middle of a request can't hold a process to the end of its grace, what is incomplete 1 s after the port has closed is refused (503, not run). The counters and flags of requests in progress are gone.

Why it works: a connection is not a momentary state. Nothing has to be counted again between two steps of a request, so there is no gap.

--- a/net/Http.h
+++ b/net/Http.h
@@ -248,13 +248,15 @@
   void disableKeepAlive() { m_KeepAliveDisabled = true; }
   // Stops accepting and closes idle connections. Requests in progress and those
   // that have arrived complete; the last response of a connection says
-  // Connection: close.
+  // Connection: close. From then on every connection ends by itself.
   void stopAccepting();
-  // Returns the number of requests in progress.
-  int activeRequests() const { return m_ActiveRequests; }
-  // Whether requests are in progress, or have arrived and are still to be read.
-  bool hasRequests() const;
-  int connections() const { return static_cast<int>(m_Connections.size()); }
+  // Whether connections are open, or refused ones are being closed. A request
+  // belongs to its connection from its first byte until the client has taken
+  // the response, so the process of a planned stop may end when this is false.
+  bool hasConnections() const;
+  int connections() const;
+  // Returns the number of openRequests().
+  int activeRequests() const;
   // Returns the requests that have been read at least in part, and whose
   // responses are not completely written or whose connections are being closed.
   std::vector<OpenRequest> openRequests() const;
@@ -270,12 +272,15 @@
 private:
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
+  struct ConnectionTable;
+  class ConnectionScope;
+  class RefusedScope;
   struct ReceivedRequest;
   class Pipeline; // Serves a connection with several requests at once.
   asio::awaitable<void> acceptLoop();
   // Serves an accepted connection, or refuses it.
   void admit(asio::ip::tcp::socket Socket);
-  asio::awaitable<void> serveConnection(ConnectionPtr Client);
+  asio::awaitable<void> serveConnection(std::unique_ptr<ConnectionScope> Scope);
   asio::awaitable<bool> serveRequest(ConnectionPtr Client);
   // Reads the start line and header of a request. Sets the error of one that
   // cannot be read.
@@ -312,7 +317,12 @@
   // the limit, or 0 if connections are not counted.
   std::size_t bytesKeptFree(std::size_t Divisor) const;
   // Answers a connection that does not fit into the budget with BuffersFull.
-  asio::awaitable<void> refuseConnection(asio::ip::tcp::socket Socket);
+  asio::awaitable<void> refuseConnection(asio::ip::tcp::socket Socket,
+                                         std::unique_ptr<RefusedScope> Scope);
+  // Ends the reads of requests that are still incomplete some time after
+  // stopAccepting().
+  static asio::awaitable<void>
+  endIncompleteReads(std::weak_ptr<ConnectionTable> Table);
   void reportRefusal(ErrorKind Kind) const;
 
   asio::io_context &m_Io;
@@ -321,10 +331,7 @@
   HttpHandler m_Handler;
   std::function<void(ErrorKind)> m_OnRefusal;
   asio::ip::tcp::acceptor m_Acceptor;
-  std::set<std::shared_ptr<Connection>> m_Connections;
-  std::map<std::string, int> m_ConnectionsPerIp;
-  int m_ActiveRequests = 0;
-  int m_ClosingRefused = 0; // Refused connections that are not closed yet.
+  std::shared_ptr<ConnectionTable> m_Connections;
   bool m_KeepAliveDisabled = false;
   bool m_Stopping = false;
   Time m_StoppingSince{0};
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -32,6 +32,9 @@
 // For this long after stopAccepting() requests that have arrived are still
 // read.
 constexpr Duration ReadOnDuration = 2s;
+// Requests that are incomplete this long after stopAccepting() are refused: a
+// client that has stopped sending would keep the process from ending.
+constexpr Duration IncompleteReadDuration = 1s;
 // While a connection is not read, an end of it is looked for this often.
 constexpr Duration CloseCheckInterval = 200ms;
 // Parts of the budget that callers leave free, as divisors of its limit, where
@@ -213,7 +216,9 @@
   std::function<void()> m_OnWritable; // Called when such a write has ended.
   std::string m_PeerIp;
   std::vector<const ReceivedRequest *> m_Requests; // In the order of reading.
-  bool m_RequestInProgress = false;
+  // A planned stop waits no longer for the rest of an incomplete request.
+  bool m_IncompleteEnds = false;
+  std::function<void()> m_OnIncompleteEnd; // Null: reads are cancelled.
   // The connection exceeds a connection limit; its first request is refused.
   bool m_OverLimit = false;
 };
@@ -239,6 +244,51 @@
   std::optional<BufferedBytes> m_Head;     // Counts all else of the request.
 };
 
+// The connections of a server. Coroutines that end after the server share it.
+struct HttpServer::ConnectionTable {
+  std::set<ConnectionPtr> m_Open;
+  std::map<std::string, int> m_OpenPerIp;
+  int m_ClosingRefused = 0; // Refused connections that are not closed yet.
+};
+
+// Lists a connection while it exists.
+class HttpServer::ConnectionScope {
+public:
+  ConnectionScope(std::shared_ptr<ConnectionTable> Table, ConnectionPtr Client)
+      : m_Table(std::move(Table)), m_Client(std::move(Client)) {
+    m_Table->m_Open.insert(m_Client);
+    ++m_Table->m_OpenPerIp[m_Client->m_PeerIp];
+  }
+  ~ConnectionScope() {
+    m_Table->m_Open.erase(m_Client);
+    auto Count = m_Table->m_OpenPerIp.find(m_Client->m_PeerIp);
+    if (--Count->second == 0)
+      m_Table->m_OpenPerIp.erase(Count);
+  }
+  ConnectionScope(const ConnectionScope &) = delete;
+  ConnectionScope &operator=(const ConnectionScope &) = delete;
+  const ConnectionPtr &client() const { return m_Client; }
+
+private:
+  std::shared_ptr<ConnectionTable> m_Table;
+  ConnectionPtr m_Client;
+};
+
+// Counts a refused connection while it exists.
+class HttpServer::RefusedScope {
+public:
+  explicit RefusedScope(std::shared_ptr<ConnectionTable> Table)
+      : m_Table(std::move(Table)) {
+    ++m_Table->m_ClosingRefused;
+  }
+  ~RefusedScope() { --m_Table->m_ClosingRefused; }
+  RefusedScope(const RefusedScope &) = delete;
+  RefusedScope &operator=(const RefusedScope &) = delete;
+
+private:
+  std::shared_ptr<ConnectionTable> m_Table;
+};
+
 // Serves one connection whose client sends further requests before the first
 // response. Requests without a body run side by side; responses are written in
 // the order of their requests.
@@ -282,6 +332,7 @@
   // requests.
   void setReadTimeout(Duration Timeout);
   void onReadTimeout();
+  void onIncompleteEnd();
   void endClient();
   // Cancels all requests: their client has disconnected, or their responses
   // cannot be sent any more.
@@ -344,11 +395,24 @@
   notify();
 }
 
+// The read cannot be cancelled alone, and a response that is being written goes
+// before the refusal of a request behind it.
+void HttpServer::Pipeline::onIncompleteEnd() {
+  if (m_Client->m_WriteBlocked)
+    onReadTimeout();
+  else
+    m_Client->m_Stream.cancel();
+}
+
 asio::awaitable<void> HttpServer::Pipeline::run() {
   m_Client->m_OnWritable = [Weak = weak_from_this()] {
     if (auto Self = Weak.lock())
       Self->notify();
   };
+  m_Client->m_OnIncompleteEnd = [Weak = weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->onIncompleteEnd();
+  };
   asio::co_spawn(
       m_Server.m_Io,
       [](std::shared_ptr<Pipeline> Self) -> asio::awaitable<void> {
@@ -368,7 +432,6 @@
     EntryPtr Item = m_Entries.front();
     bool Reusable = co_await writeResponse(Item);
     m_Entries.pop_front();
-    m_Client->m_RequestInProgress = !m_Entries.empty() || m_ReadsRequest;
     if (!Reusable)
       break;
     if (m_Entries.empty() && !m_ReadsRequest)
@@ -380,6 +443,7 @@
   ++m_ReadTimeouts;
   m_ReadTimer.cancel();
   m_Client->m_OnWritable = nullptr;
+  m_Client->m_OnIncompleteEnd = nullptr;
   while (m_IsReading)
     co_await waitForChange();
 }
@@ -499,7 +563,6 @@
   }
   if (m_StopReading)
     co_return false;
-  m_Client->m_RequestInProgress = true;
   m_ReadsRequest = true;
   auto Received = std::make_shared<ReceivedRequest>(m_Client);
   Stream.expires_never();
@@ -510,6 +573,7 @@
   ++m_ReadTimeouts; // The head is complete: its time-out has no effect.
   m_ReadTimer.cancel();
   bool Disconnected = Received->m_Error && !m_StopReading &&
+                      !m_Client->m_IncompleteEnds &&
                       readErrorKind(Received->m_Error) == ErrorKind::None;
   if (Disconnected)
     endClient();
@@ -585,7 +649,8 @@
 HttpServer::HttpServer(asio::io_context &Io, const Reachability &Reach,
                        HttpServerLimits Limits, HttpHandler Handler)
     : m_Io(Io), m_Reachability(Reach), m_Limits(std::move(Limits)),
-      m_Handler(std::move(Handler)), m_Acceptor(Io) {}
+      m_Handler(std::move(Handler)), m_Acceptor(Io),
+      m_Connections(std::make_shared<ConnectionTable>()) {}
 
 Result<std::uint16_t> HttpServer::start(const std::string &Ip,
                                         std::uint16_t Port) {
@@ -626,9 +691,35 @@
       admit(std::move(Socket));
   }
   m_Acceptor.close(Error);
-  for (const auto &Client : m_Connections)
-    if (!Client->m_RequestInProgress)
+  for (const ConnectionPtr &Client : m_Connections->m_Open)
+    if (Client->m_Requests.empty())
+      Client->m_Stream.cancel();
+  asio::co_spawn(m_Io, endIncompleteReads(m_Connections), asio::detached);
+}
+
+asio::awaitable<void>
+HttpServer::endIncompleteReads(std::weak_ptr<ConnectionTable> Table) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor,
+                           IncompleteReadDuration);
+  co_await Timer.async_wait(Await);
+  std::shared_ptr<ConnectionTable> Connections = Table.lock();
+  if (!Connections)
+    co_return;
+  for (const ConnectionPtr &Client : Connections->m_Open) {
+    bool IsIncomplete =
+        std::any_of(Client->m_Requests.begin(), Client->m_Requests.end(),
+                    [](const ReceivedRequest *Row) {
+                      return Row->m_Stage == RequestStage::Head ||
+                             Row->m_Stage == RequestStage::Body;
+                    });
+    if (!IsIncomplete)
+      continue;
+    Client->m_IncompleteEnds = true;
+    if (Client->m_OnIncompleteEnd)
+      Client->m_OnIncompleteEnd();
+    else
       Client->m_Stream.cancel();
+  }
 }
 
 asio::awaitable<void> HttpServer::acceptLoop() {
@@ -642,7 +733,8 @@
       continue;
     }
     admit(std::move(Socket));
-    while (m_ClosingRefused >= MaxClosingRefused && !m_Stopping) {
+    while (m_Connections->m_ClosingRefused >= MaxClosingRefused &&
+           !m_Stopping) {
       asio::steady_timer Pause(m_Io, AcceptRetryDelay);
       co_await Pause.async_wait(Await);
     }
@@ -660,7 +752,11 @@
   if (Budget &&
       Budget->leftBytes() < Needed + bytesKeptFree(BudgetKeepDivisor)) {
     reportRefusal(ErrorKind::BuffersFull);
-    asio::co_spawn(m_Io, refuseConnection(std::move(Socket)), asio::detached);
+    asio::co_spawn(
+        m_Io,
+        refuseConnection(std::move(Socket),
+                         std::make_unique<RefusedScope>(m_Connections)),
+        asio::detached);
     return;
   }
   auto Client = std::make_shared<Connection>(
@@ -668,16 +764,19 @@
       std::max(MaxUnparsedBytes, m_Limits.m_MaxHeaderBytes + ReadAheadBytes),
       Budget, bytesKeptFree(RequestKeepDivisor));
   Client->m_PeerIp = Peer.address().to_string();
-  asio::co_spawn(m_Io, serveConnection(std::move(Client)), asio::detached);
+  auto SameIp = m_Connections->m_OpenPerIp.find(Client->m_PeerIp);
+  Client->m_OverLimit = connections() >= m_Limits.m_MaxConnections ||
+                        (SameIp != m_Connections->m_OpenPerIp.end() &&
+                         SameIp->second >= m_Limits.m_MaxConnectionsPerIp);
+  asio::co_spawn(
+      m_Io,
+      serveConnection(std::make_unique<ConnectionScope>(m_Connections, Client)),
+      asio::detached);
 }
 
-asio::awaitable<void> HttpServer::serveConnection(ConnectionPtr Client) {
-  int &ConnectionsFromIp = m_ConnectionsPerIp[Client->m_PeerIp];
-  Client->m_OverLimit =
-      static_cast<int>(m_Connections.size()) >= m_Limits.m_MaxConnections ||
-      ConnectionsFromIp >= m_Limits.m_MaxConnectionsPerIp;
-  ++ConnectionsFromIp;
-  m_Connections.insert(Client);
+asio::awaitable<void>
+HttpServer::serveConnection(std::unique_ptr<ConnectionScope> Scope) {
+  const ConnectionPtr Client = Scope->client();
   if (m_Limits.m_MaxPipelinedRequests > 1) {
     auto Requests = std::make_shared<Pipeline>(*this, Client);
     co_await Requests->run();
@@ -687,14 +786,9 @@
     bool KeepAlive = co_await serveRequest(Client);
     if (!KeepAlive)
       break;
-    Client->m_RequestInProgress = false;
   }
   boost::system::error_code Ignored;
   Client->m_Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
-  m_Connections.erase(Client);
-  auto Count = m_ConnectionsPerIp.find(Client->m_PeerIp);
-  if (--Count->second == 0)
-    m_ConnectionsPerIp.erase(Count);
 }
 
 asio::awaitable<void>
@@ -727,6 +821,8 @@
   Into->m_Stage = RequestStage::Body;
   if (Into->m_BuffersFull)
     co_return; // Refused before its body is read.
+  if (!Error && !Parser.is_done() && Into->m_Client->m_IncompleteEnds)
+    Error = asio::error::operation_aborted;
   if (!Error && !Parser.is_done() &&
       beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> Continue{http::status::continue_, 11};
@@ -787,6 +883,8 @@
   ErrorKind Kind = readErrorKind(Received.m_Error);
   if (Received.m_BuffersFull)
     Kind = ErrorKind::BuffersFull;
+  if (Client.m_IncompleteEnds)
+    Kind = ErrorKind::Leaving;
   if (Client.m_OverLimit)
     Kind = ErrorKind::TooManyConnections;
   if (Kind == ErrorKind::None)
@@ -816,7 +914,6 @@
     Client->m_Buffer.commit(Bytes);
   }
   // From here on, stopAccepting() lets the request finish.
-  Client->m_RequestInProgress = true;
   auto Received = std::make_shared<ReceivedRequest>(Client);
   Stream.expires_after(m_Limits.m_HeaderTimeout);
   co_await receiveHead(Client, Received);
@@ -871,13 +968,11 @@
 
 asio::awaitable<HttpResponse> HttpServer::runHandler(HttpRequest Request) {
   HttpResponse Response;
-  ++m_ActiveRequests;
   try {
     Response = co_await m_Handler(std::move(Request));
   } catch (const std::exception &Exception) {
     Response = errorResponse(ErrorKind::Internal, Exception.what());
   }
-  --m_ActiveRequests;
   co_return Response;
 }
 
@@ -907,7 +1002,6 @@
     Unwritten.set(Text.capacity() + FirstFragment.m_Bytes.capacity());
     Response.m_Buffered.reset(); // Counted the same bytes.
   }
-  ++m_ActiveRequests; // The request is active until its response is written.
   Stream.expires_after(m_Limits.m_WriteTimeout);
   boost::system::error_code Error;
   std::size_t Sent = writeWithoutBlocking(Stream.socket(), Text, Error);
@@ -946,7 +1040,6 @@
     if (RequestBody)
       co_await waitForBodyReader(Client, std::move(RequestBody));
   }
-  --m_ActiveRequests;
   if (!Error && Response.m_CloseConnection)
     co_await lingeringClose(Client);
   co_return KeepAlive && !Error;
@@ -970,17 +1063,24 @@
   }
 }
 
-bool HttpServer::hasRequests() const {
-  return m_ActiveRequests > 0 ||
-         std::any_of(m_Connections.begin(), m_Connections.end(),
-                     [this](const ConnectionPtr &Client) {
-                       return Client->hasUnreadBytes() && mayReadOn(*Client);
-                     });
+bool HttpServer::hasConnections() const {
+  return connections() > 0 || m_Connections->m_ClosingRefused > 0;
+}
+
+int HttpServer::activeRequests() const {
+  std::size_t Sum = 0;
+  for (const ConnectionPtr &Client : m_Connections->m_Open)
+    Sum += Client->m_Requests.size();
+  return static_cast<int>(Sum);
+}
+
+int HttpServer::connections() const {
+  return static_cast<int>(m_Connections->m_Open.size());
 }
 
 std::vector<OpenRequest> HttpServer::openRequests() const {
   std::vector<OpenRequest> Open;
-  for (const ConnectionPtr &Client : m_Connections)
+  for (const ConnectionPtr &Client : m_Connections->m_Open)
     for (const ReceivedRequest *Row : Client->m_Requests) {
       OpenRequest &Request = Open.emplace_back();
       Request.m_Stage = Row->m_Stage;
@@ -996,7 +1096,7 @@
 
 int HttpServer::unreadConnections() const {
   return static_cast<int>(std::count_if(
-      m_Connections.begin(), m_Connections.end(),
+      m_Connections->m_Open.begin(), m_Connections->m_Open.end(),
       [](const ConnectionPtr &Client) {
         return Client->m_Requests.empty() && Client->hasUnreadBytes();
       }));
@@ -1021,8 +1121,10 @@
 
 // The response is sent before the request is read, as reading it takes memory.
 // It is true: nothing of the request has run.
-asio::awaitable<void> HttpServer::refuseConnection(tcp::socket Socket) {
-  ++m_ClosingRefused;
+asio::awaitable<void>
+HttpServer::refuseConnection(tcp::socket Socket,
+                             std::unique_ptr<RefusedScope> Scope) {
+  const auto Counted = std::move(Scope);
   beast::tcp_stream Stream(std::move(Socket));
   boost::system::error_code Error;
   auto Peer = Stream.socket().remote_endpoint(Error);
@@ -1043,7 +1145,6 @@
       Reads = !ReadError;
     }
   }
-  --m_ClosingRefused;
 }
 
 // Reads until the client closes the connection or a limit is reached.
--- a/test/HttpStopTest.cpp
+++ b/test/HttpStopTest.cpp
@@ -198,7 +198,7 @@
         Time SendAt = now() + 50ms;
         bool IsRestSent = false;
         bool HasEnded = Fixture.runUntil(
-            4s, [&] { return !Fixture.m_Server->hasRequests(); },
+            4s, [&] { return !Fixture.m_Server->hasConnections(); },
             [&] {
               bool Sends = !IsRestSent && now() >= SendAt;
               IsRestSent = IsRestSent || Sends;
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -274,11 +274,8 @@
   m_CallerServer.stopAccepting();
   m_DetourServer.stopAccepting();
   logOpenRequests("port_closed");
-  // Requests that arrived with the stop start only after it.
-  do
-    co_await sleepFor(TickInterval);
-  while (now() < End &&
-         (m_CallerServer.hasRequests() || m_DetourServer.hasRequests()));
+  const std::vector<HttpServer *> Carrying{&m_CallerServer, &m_DetourServer};
+  co_await waitForConnections(Carrying, End);
   logOpenRequests("drained");
   for (const HttpServer *Server : {&m_CallerServer, &m_DetourServer})
     for (const OpenRequest &Cut : Server->openRequests())
@@ -318,6 +315,15 @@
             {"after_ms", std::to_string((now() - m_LeavingSince) / 1ms)}});
 }
 
+asio::awaitable<void>
+Node::waitForConnections(std::vector<HttpServer *> Servers, Time Until) {
+  auto IsOpen = [](const HttpServer *Server) {
+    return Server->hasConnections();
+  };
+  while (now() < Until && std::any_of(Servers.begin(), Servers.end(), IsOpen))
+    co_await sleepFor(TickInterval);
+}
+
 std::vector<std::string> Node::applySettings(const NodeSettings &Next) {
   std::vector<std::string> NeedRestart;
   if (Next.m_Ip != m_Settings.m_Ip || Next.m_Domain != m_Settings.m_Domain ||
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -407,6 +407,9 @@
   // --- Periodic work and health (Node.cpp)
   // Returns when a process that is shutting down ends.
   Time stopTime() const;
+  // Waits until servers that have stopped accepting have no connections left.
+  static asio::awaitable<void>
+  waitForConnections(std::vector<HttpServer *> Servers, Time Until);
   // Logs how far the requests on the ports for callers and detours have come.
   void logOpenRequests(std::string_view Event) const;
   asio::awaitable<void> tickLoop();
