A connection that closes takes what is unread first

What callers saw: the end of a long response was missing when the client had sent anything behind its last request, a stray line end for instance.

Cause: a connection that ended with its client's wish (`Connection: close`), after its reads had stopped, or at the end of what a planned stop reads was closed at once. A socket that closes with unread bytes resets the connection, and the kernel drops the part of the response that it has not sent yet. Only some ends lingered.

Change: every response that ends its connection is followed by the lingering close, and so is the end of a connection on which bytes are unread. The reader has ended before, as the linger reads as well.

The end of the process was the reason to look: it closes all sockets.

--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -458,24 +458,18 @@
   bool HasWholeBody = !Item->m_Received->m_Error && Parser.is_done();
   bool Closes = !HasWholeBody || !Parser.keep_alive() ||
                 Item->m_Response.m_CloseConnection;
-  if (Closes)
-    stopReading();
-  while (Closes && m_IsReading)
-    co_await waitForChange();
   bool EndsPlanned = false;
   if (!Closes && m_Server.isStopping())
     EndsPlanned = co_await endsPlanned();
-  // The reader may be waiting to read on, but the connection's end reads as
-  // well.
-  if (EndsPlanned)
+  auto IsLast = [&] {
+    return Closes || EndsPlanned || (m_StopReading && m_Entries.size() == 1);
+  };
+  // The end of the connection reads as well.
+  if (IsLast())
     stopReading();
-  while (EndsPlanned && m_IsReading)
+  while (IsLast() && m_IsReading)
     co_await waitForChange();
-  bool IsLast = m_Entries.size() == 1;
-  bool KeepAlive = !Closes && !EndsPlanned && !(m_StopReading && IsLast);
-  // The client may still be sending, which requires a lingering close.
-  if (!HasWholeBody || EndsPlanned)
-    Item->m_Response.m_CloseConnection = true;
+  bool KeepAlive = !IsLast();
   bool IsHead = Parser.get().method() == http::verb::head;
   co_return co_await m_Server.respond(m_Client, *Item->m_Received,
                                       std::move(Item->m_Response), KeepAlive,
@@ -789,6 +783,9 @@
   }
   boost::system::error_code Ignored;
   Client->m_Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  // Closing now would reset the connection under the last response.
+  if (Client->hasUnreadBytes())
+    co_await lingeringClose(Client);
 }
 
 asio::awaitable<void>
@@ -943,9 +940,6 @@
   bool EndsPlanned = isStopping() && !mayReadOn(*Client);
   KeepAlive = KeepAlive && Parser->is_done() && !EndsPlanned &&
               !Response.m_CloseConnection;
-  // The client may still be sending, which requires a lingering close.
-  if (!Parser->is_done() || EndsPlanned)
-    Response.m_CloseConnection = true;
   co_return co_await respond(Client, *Received, std::move(Response), KeepAlive,
                              IsHead, std::move(RequestBody));
 }
@@ -1033,16 +1027,19 @@
     if (Fragment.m_Last)
       break;
   }
-  if (!Error && Response.m_CloseConnection) {
+  // Bytes that arrive behind the last request would reset the connection under
+  // the response if they were still unread when it closes.
+  bool IsLast = !KeepAlive || Response.m_CloseConnection;
+  if (!Error && IsLast) {
     To.m_Stage = RequestStage::Closing;
     boost::system::error_code Ignored;
     Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
     if (RequestBody)
       co_await waitForBodyReader(Client, std::move(RequestBody));
   }
-  if (!Error && Response.m_CloseConnection)
+  if (!Error && IsLast)
     co_await lingeringClose(Client);
-  co_return KeepAlive && !Error;
+  co_return !IsLast && !Error;
 }
 
 // Waits until nobody reads the body of a request that was answered early. A
