Incomplete requests neither end their connection at a stop nor hold the process

Cause: a decision about one request carried out on its connection, by a stage that also stood for "waits for its turn".

Change: nothing is cancelled. A connection that has nothing but an incomplete request 1 s after `stopAccepting` no longer counts in `hasConnections`: no handler has seen the request, and the node would refuse it by then. A request that waits for its turn has a stage of its own. The loop that accepts counts until it has ended, as it can hold a connection that is not listed yet for one turn of the event loop.

--- a/net/Http.h
+++ b/net/Http.h
@@ -215,6 +215,7 @@
 // How far a server has come with a request.
 enum class RequestStage : std::uint8_t {
   Head,    // Its head arrives.
+  Waiting, // Its head is complete, and it waits for those before it.
   Body,    // Its body arrives, and its handler has not started.
   Running, // Its handler runs.
   Ready,   // Its response waits for those before it, or for the reader.
@@ -248,11 +249,13 @@
   void disableKeepAlive() { m_KeepAliveDisabled = true; }
   // Stops accepting and closes idle connections. Requests in progress and those
   // that have arrived complete; the last response of a connection says
-  // Connection: close. From then on every connection ends by itself.
+  // Connection: close.
   void stopAccepting();
-  // Whether connections are open, or refused ones are being closed. A request
-  // belongs to its connection from its first byte until the client has taken
-  // the response, so the process of a planned stop may end when this is false.
+  // Whether the process of a planned stop has to wait for connections: all that
+  // are open, also refused ones that are being closed. A request belongs to its
+  // connection from its first byte until the client has taken the response.
+  // Connections that have nothing but an incomplete request some time after
+  // stopAccepting() do not count: no handler has seen it.
   bool hasConnections() const;
   int connections() const;
   // Returns the number of openRequests().
@@ -274,10 +277,10 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
   struct ConnectionTable;
   class ConnectionScope;
-  class RefusedScope;
+  class CountScope;
   struct ReceivedRequest;
   class Pipeline; // Serves a connection with several requests at once.
-  asio::awaitable<void> acceptLoop();
+  asio::awaitable<void> acceptLoop(std::unique_ptr<CountScope> Scope);
   // Serves an accepted connection, or refuses it.
   void admit(asio::ip::tcp::socket Socket);
   asio::awaitable<void> serveConnection(std::unique_ptr<ConnectionScope> Scope);
@@ -318,11 +321,7 @@
   std::size_t bytesKeptFree(std::size_t Divisor) const;
   // Answers a connection that does not fit into the budget with BuffersFull.
   asio::awaitable<void> refuseConnection(asio::ip::tcp::socket Socket,
-                                         std::unique_ptr<RefusedScope> Scope);
-  // Ends the reads of requests that are still incomplete some time after
-  // stopAccepting().
-  static asio::awaitable<void>
-  endIncompleteReads(std::weak_ptr<ConnectionTable> Table);
+                                         std::unique_ptr<CountScope> Scope);
   void reportRefusal(ErrorKind Kind) const;
 
   asio::io_context &m_Io;
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -15,8 +15,8 @@
 
 using asio::ip::tcp;
 
-constexpr std::array<std::string_view, 6> StageNames{
-    "head", "body", "running", "ready", "writing", "closing"};
+constexpr std::array<std::string_view, 7> StageNames{
+    "head", "waiting", "body", "running", "ready", "writing", "closing"};
 
 using RequestParser = http::request_parser<http::buffer_body>;
 
@@ -32,8 +32,8 @@
 // For this long after stopAccepting() requests that have arrived are still
 // read.
 constexpr Duration ReadOnDuration = 2s;
-// Requests that are incomplete this long after stopAccepting() are refused: a
-// client that has stopped sending would keep the process from ending.
+// Requests that are incomplete this long after stopAccepting() hold the process
+// no longer: a client that has stopped sending would keep it from ending.
 constexpr Duration IncompleteReadDuration = 1s;
 // While a connection is not read, an end of it is looked for this often.
 constexpr Duration CloseCheckInterval = 200ms;
@@ -216,9 +216,6 @@
   std::function<void()> m_OnWritable; // Called when such a write has ended.
   std::string m_PeerIp;
   std::vector<const ReceivedRequest *> m_Requests; // In the order of reading.
-  // A planned stop waits no longer for the rest of an incomplete request.
-  bool m_IncompleteEnds = false;
-  std::function<void()> m_OnIncompleteEnd; // Null: reads are cancelled.
   // The connection exceeds a connection limit; its first request is refused.
   bool m_OverLimit = false;
 };
@@ -249,6 +246,7 @@
   std::set<ConnectionPtr> m_Open;
   std::map<std::string, int> m_OpenPerIp;
   int m_ClosingRefused = 0; // Refused connections that are not closed yet.
+  int m_AcceptLoops = 0;    // May hold a connection that is not listed yet.
 };
 
 // Lists a connection while it exists.
@@ -274,19 +272,21 @@
   ConnectionPtr m_Client;
 };
 
-// Counts a refused connection while it exists.
-class HttpServer::RefusedScope {
+// Counts something in a server's table of connections while it exists.
+class HttpServer::CountScope {
 public:
-  explicit RefusedScope(std::shared_ptr<ConnectionTable> Table)
-      : m_Table(std::move(Table)) {
-    ++m_Table->m_ClosingRefused;
+  CountScope(std::shared_ptr<ConnectionTable> Table,
+             int ConnectionTable::*Counter)
+      : m_Table(std::move(Table)), m_Counter(Counter) {
+    ++(*m_Table.*m_Counter);
   }
-  ~RefusedScope() { --m_Table->m_ClosingRefused; }
-  RefusedScope(const RefusedScope &) = delete;
-  RefusedScope &operator=(const RefusedScope &) = delete;
+  ~CountScope() { --(*m_Table.*m_Counter); }
+  CountScope(const CountScope &) = delete;
+  CountScope &operator=(const CountScope &) = delete;
 
 private:
   std::shared_ptr<ConnectionTable> m_Table;
+  int ConnectionTable::*m_Counter;
 };
 
 // Serves one connection whose client sends further requests before the first
@@ -332,7 +332,6 @@
   // requests.
   void setReadTimeout(Duration Timeout);
   void onReadTimeout();
-  void onIncompleteEnd();
   void endClient();
   // Cancels all requests: their client has disconnected, or their responses
   // cannot be sent any more.
@@ -395,24 +394,11 @@
   notify();
 }
 
-// The read cannot be cancelled alone, and a response that is being written goes
-// before the refusal of a request behind it.
-void HttpServer::Pipeline::onIncompleteEnd() {
-  if (m_Client->m_WriteBlocked)
-    onReadTimeout();
-  else
-    m_Client->m_Stream.cancel();
-}
-
 asio::awaitable<void> HttpServer::Pipeline::run() {
   m_Client->m_OnWritable = [Weak = weak_from_this()] {
     if (auto Self = Weak.lock())
       Self->notify();
   };
-  m_Client->m_OnIncompleteEnd = [Weak = weak_from_this()] {
-    if (auto Self = Weak.lock())
-      Self->onIncompleteEnd();
-  };
   asio::co_spawn(
       m_Server.m_Io,
       [](std::shared_ptr<Pipeline> Self) -> asio::awaitable<void> {
@@ -443,7 +429,6 @@
   ++m_ReadTimeouts;
   m_ReadTimer.cancel();
   m_Client->m_OnWritable = nullptr;
-  m_Client->m_OnIncompleteEnd = nullptr;
   while (m_IsReading)
     co_await waitForChange();
 }
@@ -567,7 +552,6 @@
   ++m_ReadTimeouts; // The head is complete: its time-out has no effect.
   m_ReadTimer.cancel();
   bool Disconnected = Received->m_Error && !m_StopReading &&
-                      !m_Client->m_IncompleteEnds &&
                       readErrorKind(Received->m_Error) == ErrorKind::None;
   if (Disconnected)
     endClient();
@@ -575,6 +559,7 @@
       !m_Server.m_Reachability.allows(m_Client->m_PeerIp))
     co_return false;
   bool HasBody = !Received->m_Error && !Received->m_Parser->is_done();
+  Received->m_Stage = RequestStage::Waiting;
   while ((HasBody || m_Client->m_WriteBlocked) && !m_Entries.empty() &&
          !m_StopReading)
     co_await waitUnread();
@@ -663,7 +648,9 @@
     return rhubarb::Error{ErrorKind::Internal, "cannot listen on " + Ip + ":" +
                                                    std::to_string(Port) + ": " +
                                                    Error.message()};
-  asio::co_spawn(m_Io, acceptLoop(), asio::detached);
+  auto Accepting = std::make_unique<CountScope>(
+      m_Connections, &ConnectionTable::m_AcceptLoops);
+  asio::co_spawn(m_Io, acceptLoop(std::move(Accepting)), asio::detached);
   return m_Acceptor.local_endpoint().port();
 }
 
@@ -688,35 +675,11 @@
   for (const ConnectionPtr &Client : m_Connections->m_Open)
     if (Client->m_Requests.empty())
       Client->m_Stream.cancel();
-  asio::co_spawn(m_Io, endIncompleteReads(m_Connections), asio::detached);
 }
 
 asio::awaitable<void>
-HttpServer::endIncompleteReads(std::weak_ptr<ConnectionTable> Table) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor,
-                           IncompleteReadDuration);
-  co_await Timer.async_wait(Await);
-  std::shared_ptr<ConnectionTable> Connections = Table.lock();
-  if (!Connections)
-    co_return;
-  for (const ConnectionPtr &Client : Connections->m_Open) {
-    bool IsIncomplete =
-        std::any_of(Client->m_Requests.begin(), Client->m_Requests.end(),
-                    [](const ReceivedRequest *Row) {
-                      return Row->m_Stage == RequestStage::Head ||
-                             Row->m_Stage == RequestStage::Body;
-                    });
-    if (!IsIncomplete)
-      continue;
-    Client->m_IncompleteEnds = true;
-    if (Client->m_OnIncompleteEnd)
-      Client->m_OnIncompleteEnd();
-    else
-      Client->m_Stream.cancel();
-  }
-}
-
-asio::awaitable<void> HttpServer::acceptLoop() {
+HttpServer::acceptLoop(std::unique_ptr<CountScope> Scope) {
+  const auto Counted = std::move(Scope);
   while (!m_Stopping) {
     auto [Error, Socket] = co_await m_Acceptor.async_accept(Await);
     if (Error && m_Stopping)
@@ -746,11 +709,12 @@
   if (Budget &&
       Budget->leftBytes() < Needed + bytesKeptFree(BudgetKeepDivisor)) {
     reportRefusal(ErrorKind::BuffersFull);
-    asio::co_spawn(
-        m_Io,
-        refuseConnection(std::move(Socket),
-                         std::make_unique<RefusedScope>(m_Connections)),
-        asio::detached);
+    asio::co_spawn(m_Io,
+                   refuseConnection(
+                       std::move(Socket),
+                       std::make_unique<CountScope>(
+                           m_Connections, &ConnectionTable::m_ClosingRefused)),
+                   asio::detached);
     return;
   }
   auto Client = std::make_shared<Connection>(
@@ -818,8 +782,6 @@
   Into->m_Stage = RequestStage::Body;
   if (Into->m_BuffersFull)
     co_return; // Refused before its body is read.
-  if (!Error && !Parser.is_done() && Into->m_Client->m_IncompleteEnds)
-    Error = asio::error::operation_aborted;
   if (!Error && !Parser.is_done() &&
       beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> Continue{http::status::continue_, 11};
@@ -880,8 +842,6 @@
   ErrorKind Kind = readErrorKind(Received.m_Error);
   if (Received.m_BuffersFull)
     Kind = ErrorKind::BuffersFull;
-  if (Client.m_IncompleteEnds)
-    Kind = ErrorKind::Leaving;
   if (Client.m_OverLimit)
     Kind = ErrorKind::TooManyConnections;
   if (Kind == ErrorKind::None)
@@ -1061,7 +1021,22 @@
 }
 
 bool HttpServer::hasConnections() const {
-  return connections() > 0 || m_Connections->m_ClosingRefused > 0;
+  const ConnectionTable &Table = *m_Connections;
+  if (Table.m_AcceptLoops > 0 || Table.m_ClosingRefused > 0)
+    return true;
+  if (!m_Stopping || now() < m_StoppingSince + IncompleteReadDuration)
+    return !Table.m_Open.empty();
+  auto IsIncomplete = [](const ReceivedRequest *Row) {
+    return Row->m_Stage == RequestStage::Head ||
+           Row->m_Stage == RequestStage::Body;
+  };
+  return std::any_of(Table.m_Open.begin(), Table.m_Open.end(),
+                     [&](const ConnectionPtr &Client) {
+                       return Client->m_Requests.empty() ||
+                              !std::all_of(Client->m_Requests.begin(),
+                                           Client->m_Requests.end(),
+                                           IsIncomplete);
+                     });
 }
 
 int HttpServer::activeRequests() const {
@@ -1120,7 +1095,7 @@
 // It is true: nothing of the request has run.
 asio::awaitable<void>
 HttpServer::refuseConnection(tcp::socket Socket,
-                             std::unique_ptr<RefusedScope> Scope) {
+                             std::unique_ptr<CountScope> Scope) {
   const auto Counted = std::move(Scope);
   beast::tcp_stream Stream(std::move(Socket));
   boost::system::error_code Error;
--- a/test/HttpStopTest.cpp
+++ b/test/HttpStopTest.cpp
@@ -30,10 +30,13 @@
     boost::system::error_code Error;
     m_Unsent.erase(0, m_Socket.write_some(asio::buffer(m_Unsent), Error));
   }
-  void read(std::size_t MaxBytes) {
+  // Returns whether anything has arrived.
+  bool read(std::size_t MaxBytes) {
     boost::system::error_code Error;
     std::string Part(MaxBytes, '\0');
-    m_Received.append(Part, 0, m_Socket.read_some(asio::buffer(Part), Error));
+    std::size_t Bytes = m_Socket.read_some(asio::buffer(Part), Error);
+    m_Received.append(Part, 0, Bytes);
+    return Bytes > 0;
   }
   void closeAfter(std::size_t Responses) {
     if (wholeResponses() >= Responses)
@@ -42,8 +45,9 @@
   std::size_t wholeResponses() const {
     std::vector<RawResponse> All = splitResponses(m_Received);
     return static_cast<std::size_t>(
-        std::count_if(All.begin(), All.end(),
-                      [](const RawResponse &Row) { return Row.m_IsWhole; }));
+        std::count_if(All.begin(), All.end(), [](const RawResponse &Row) {
+          return Row.m_IsWhole && Row.m_Head.starts_with("HTTP/1.1 200 ");
+        }));
   }
 
 private:
@@ -62,6 +66,7 @@
   Time m_ReadyAt{0};
   std::size_t m_ResponseBytes = 0;
   bool m_ReadsBodies = true;
+  std::size_t m_Handled = 0; // Requests whose handler has started.
 
   explicit StopFixture(int Depth) {
     HttpServerLimits Limits;
@@ -77,6 +82,7 @@
   }
 
   asio::awaitable<HttpResponse> handle(HttpRequest Request) {
+    ++m_Handled;
     if (m_ReadsBodies && Request.m_BodyStream) {
       BodyReader Reader(Request.m_BodyStream);
       for (bool Last = false; !Last;) {
@@ -153,7 +159,11 @@
       std::size_t m_Requests = 1;
       std::size_t m_ResponseBytes = 10;
       bool m_ReadsBodies = true;
+      std::size_t m_ReadBytes = 64U << 10U; // By a caller at a time.
+      Duration m_ReadAfter{0};              // The stop, at the earliest.
     };
+    const std::string LastGet =
+        "GET /r HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
     const Row Rows[] = {
         {"a request", 1, get(), All},
         {"many requests", 30, get(), All},
@@ -176,6 +186,16 @@
          get().size() + upload(4).size() - 2, 2},
         {"long responses", 2, get(), All, 1, 16U << 20U},
         {"long responses to uploads", 2, upload(4), All, 1, 16U << 20U},
+        {"long responses, and bytes behind the last request", 2,
+         LastGet + "\r\n", LastGet.size(), 1, 2U << 20U, true, 1024},
+        {"a request behind a response that waits for its reader", 1,
+         get() + get(), All, 2, 16U << 20U, true, 64U << 10U, 1500ms},
+        {"half of a request behind such a response", 1, get() + get(),
+         get().size() + 9, 2, 16U << 20U, true, 64U << 10U, 1500ms},
+        {"an upload behind such a response", 1, get() + upload(300000), All, 2,
+         16U << 20U, true, 64U << 10U, 1500ms},
+        {"an upload behind a response that is read slowly", 1,
+         get() + upload(300000), All, 2, 16U << 20U, true, 16U << 10U, 1500ms},
         {"responses before the end of the upload", 5, upload(300000), 150000, 1,
          10, false},
     };
@@ -195,16 +215,18 @@
         Fixture.runFor(50ms);
         Fixture.m_Server->disableKeepAlive();
         Fixture.m_Server->stopAccepting();
-        Time SendAt = now() + 50ms;
+        Time StoppedAt = now();
+        Time SendAt = StoppedAt + 50ms;
         bool IsRestSent = false;
         bool HasEnded = Fixture.runUntil(
-            4s, [&] { return !Fixture.m_Server->hasConnections(); },
+            10s, [&] { return !Fixture.m_Server->hasConnections(); },
             [&] {
               bool Sends = !IsRestSent && now() >= SendAt;
               IsRestSent = IsRestSent || Sends;
               for (Caller &One : Callers) {
                 One.send(Sends ? Case.m_Text.substr(Before) : "");
-                One.read(64U << 10U);
+                if (now() >= StoppedAt + Case.m_ReadAfter)
+                  One.read(Case.m_ReadBytes);
                 One.closeAfter(Case.m_Requests);
               }
             });
@@ -213,10 +235,78 @@
         Fixture.endProcess();
         std::size_t Answered = 0;
         for (Caller &One : Callers) {
-          One.read(64U << 10U);
+          while (One.read(64U << 10U))
+            ;
           Answered += One.wholeResponses();
         }
         CHECK(Answered == Case.m_Callers * Case.m_Requests);
+        CHECK(Fixture.m_Handled == Case.m_Callers * Case.m_Requests);
       }
   }
+
+  // Guards against a process that is held to the end of its grace by a client
+  // that sends no more, or does not close its connection.
+  TEST_CASE("a server that stops does not wait for silent clients") {
+    struct Row {
+      const char *m_Name;
+      std::string m_Text;
+      std::size_t m_Answered;
+    };
+    const Row Rows[] = {
+        {"nothing sent", "", 0},
+        {"half of the head", get().substr(0, 12), 0},
+        {"half of the body", upload(40000).substr(0, 20000), 0},
+        {"an answered request", get(), 1},
+        {"half of a head behind a request", get() + get().substr(0, 12), 1},
+        {"half of a body behind a request", get() + upload(40).substr(0, 70),
+         1},
+        {"half of a body behind an upload",
+         upload(40) + upload(40).substr(0, 70), 1},
+    };
+    for (const Row &Case : Rows)
+      for (int Depth : {8, 1}) {
+        CAPTURE(std::string(Case.m_Name));
+        CAPTURE(Depth);
+        StopFixture Fixture(Depth);
+        Fixture.m_ResponseBytes = 10;
+        Fixture.m_ReadyAt = now() + 150ms;
+        Caller Silent(Fixture.m_Port);
+        Silent.send(Case.m_Text);
+        Fixture.runFor(50ms);
+        Fixture.m_Server->disableKeepAlive();
+        Fixture.m_Server->stopAccepting();
+        CHECK(Fixture.runUntil(
+            2s, [&] { return !Fixture.m_Server->hasConnections(); }));
+        Fixture.endProcess();
+        while (Silent.read(64U << 10U))
+          ;
+        CHECK(Silent.wholeResponses() == Case.m_Answered);
+        CHECK(Fixture.m_Handled == Case.m_Answered);
+      }
+  }
+
+  // Guards against a connection that no table lists between its accept and the
+  // first step of the coroutine that serves it.
+  TEST_CASE("a server that stops has accepted connections at once") {
+    for (int Depth : {8, 1}) {
+      CAPTURE(Depth);
+      StopFixture Fixture(Depth);
+      Fixture.m_ResponseBytes = 10;
+      std::optional<Caller> Left(Fixture.m_Port);
+      Left.reset();
+      Caller One(Fixture.m_Port);
+      One.send(get());
+      Fixture.m_Io->run_one_for(100ms);
+      Fixture.m_Server->stopAccepting();
+      CHECK(Fixture.m_Server->hasConnections());
+      CHECK(Fixture.runUntil(
+          2s, [&] { return !Fixture.m_Server->hasConnections(); },
+          [&] {
+            One.read(1024);
+            One.closeAfter(1);
+          }));
+      Fixture.endProcess();
+      CHECK(One.wholeResponses() == 1);
+    }
+  }
 }
--- a/test/NodeStopTest.cpp
+++ b/test/NodeStopTest.cpp
@@ -27,7 +27,7 @@
          "X-Rhubarbstack-Request-Id: r1\r\n" +
          Fields + "Content-Length: " + std::to_string(Bytes) +
          "\r\nX-Rhubarbstack-Request-Deadline: 3000\r\n\r\n" +
-         std::string(Bytes, 'u');
+         std::string(Bytes - UploadEnd.size(), 'u') + std::string(UploadEnd);
 }
 
 // Leaves each server with spare slots for all requests of a row.
@@ -147,9 +147,10 @@
       int m_PipelinedRequests;
       std::string m_Text;
       std::size_t m_Callers;
+      bool m_IsUpload = true;
     };
     const Row Rows[] = {
-        {"requests without a body", 8, get("/read/1"), 20},
+        {"requests without a body", 8, get("/read/1"), 20, false},
         {"short uploads", 8, upload(1000, ""), 20},
         {"uploads", 8, upload(60000, ""), 20},
         {"the last request of each connection", 8,
@@ -162,7 +163,7 @@
       CAPTURE(std::string(Case.m_Name));
       std::size_t Answered = 0;
       RawAnswer Sound{head() + "Content-Length: 5\r\n\r\nsound",
-                      ConnectionEnd::Close, false, 700ms};
+                      ConnectionEnd::Close, Case.m_IsUpload, 1700ms};
       // The process gets no processor time while all responses arrive.
       Sound.m_OnAnswered = [&] {
         if (++Answered == Case.m_Callers)
@@ -177,7 +178,7 @@
       asio::co_spawn(
           Fixture.m_Io,
           [&]() -> asio::awaitable<void> {
-            co_await sleepFor(2450ms);
+            co_await sleepFor(1500ms);
             for (std::string &One : Received) {
               tcp::socket &Socket = Sockets.emplace_back(Fixture.m_Io);
               Socket.connect({asio::ip::make_address(nodeIp()), CallerPort});
