The watch for a client's close ends without cancelling the read of its upload

After a short response its server got half of the upload.

Cause: `HttpServer::handle` stopped the watch with `socket().cancel()`, which also cancelled the read of the body by whoever passes the upload on. That reader takes the body for broken off and closes the connection to the server, from which the rest of the response is being read.

Change: `CloseWatch` is one wait of the socket with a cancellation slot of its own. `end` cancels this wait only, and what it has seen by then is ignored. It exists while `handle` runs, so the end of a body behind its handler starts no watch. A connection that ends closes its socket: a reader of the body that is still there kept it open.

Why it works: an operation is cancelled by its own key, not by its socket.

--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -1,6 +1,8 @@
 #include "net/Clock.h"
 #include "net/HttpBody.h"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -107,21 +109,45 @@
   return Sum;
 }
 
-// Watches for the close of a connection while its request is handled. A
-// pipelined request is left in the socket for the next read. Owner keeps the
-// socket alive until the watch has ended.
-void watchForClose(tcp::socket &Socket, std::shared_ptr<ClientConnection> State,
-                   std::shared_ptr<void> Owner) {
-  Socket.async_wait(
+// Watches for the close of a connection while a handler runs. Ends without
+// cancelling other operations of the socket, as the body of the request may be
+// read on behind its handler.
+class CloseWatch : public std::enable_shared_from_this<CloseWatch> {
+public:
+  CloseWatch(tcp::socket &Socket, std::shared_ptr<ClientConnection> State)
+      : m_Socket(Socket), m_State(std::move(State)) {}
+  // A pipelined request is left in the socket for the next read. Owner keeps
+  // the socket alive until the watch has ended.
+  void begin(std::shared_ptr<void> Owner);
+  void end();
+
+private:
+  tcp::socket &m_Socket;
+  std::shared_ptr<ClientConnection> m_State;
+  asio::cancellation_signal m_Cancel; // Of the outstanding wait.
+  bool m_Ended = false;
+};
+
+void CloseWatch::begin(std::shared_ptr<void> Owner) {
+  m_Socket.async_wait(
       tcp::socket::wait_read,
-      [State = std::move(State), &Socket,
-       Owner = std::move(Owner)](const boost::system::error_code &Error) {
-        if (Error)
-          return;
-        checkForClose(Socket, *State);
-        if (State->m_Closed && State->m_OnClose)
-          State->m_OnClose();
-      });
+      asio::bind_cancellation_slot(
+          m_Cancel.slot(),
+          [Self = shared_from_this(),
+           Owner = std::move(Owner)](const boost::system::error_code &Error) {
+            Self->m_Cancel.slot().clear();
+            // The wait may have completed before it was cancelled.
+            if (Error || Self->m_Ended)
+              return;
+            checkForClose(Self->m_Socket, *Self->m_State);
+            if (Self->m_State->m_Closed && Self->m_State->m_OnClose)
+              Self->m_State->m_OnClose();
+          }));
+}
+
+void CloseWatch::end() {
+  m_Ended = true;
+  m_Cancel.emit(asio::cancellation_type::terminal);
 }
 
 bool hasNoBody(int Status) {
@@ -219,6 +245,8 @@
   // A planned stop waits no longer for the rest of an incomplete request.
   bool m_IncompleteEnds = false;
   std::function<void()> m_OnIncompleteEnd; // Null: reads are cancelled.
+  // Of the request that handle() runs. Null while it runs none.
+  std::shared_ptr<CloseWatch> m_CloseWatch;
   // The connection exceeds a connection limit; its first request is refused.
   bool m_OverLimit = false;
 };
@@ -789,6 +817,8 @@
   }
   boost::system::error_code Ignored;
   Client->m_Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  // Whoever reads the body of a request still would keep the socket open.
+  Client->m_Stream.close();
 }
 
 asio::awaitable<void>
@@ -870,8 +900,8 @@
       State->m_Closed = true;
       if (State->m_OnClose)
         State->m_OnClose();
-    } else if (Fragment.m_Last) {
-      watchForClose(Client->m_Stream.socket(), State, Client);
+    } else if (Fragment.m_Last && Client->m_CloseWatch) {
+      Client->m_CloseWatch->begin(Client);
     }
     co_return Fragment;
   };
@@ -954,15 +984,16 @@
 asio::awaitable<HttpResponse> HttpServer::handle(ConnectionPtr Client,
                                                  HttpRequest Request) {
   Client->m_Stream.expires_never();
+  Client->m_CloseWatch =
+      std::make_shared<CloseWatch>(Client->m_Stream.socket(), Request.m_Client);
   if (!Request.m_BodyStream) {
     // A process that was starved of CPU may read requests long after their
     // clients have disconnected.
     checkForClose(Client->m_Stream.socket(), *Request.m_Client);
-    watchForClose(Client->m_Stream.socket(), Request.m_Client, Client);
+    Client->m_CloseWatch->begin(Client);
   }
   HttpResponse Response = co_await runHandler(std::move(Request));
-  boost::system::error_code Ignored;
-  Client->m_Stream.socket().cancel(Ignored); // Stops watching for a disconnect.
+  std::exchange(Client->m_CloseWatch, nullptr)->end();
   co_return Response;
 }
 
