--- a/test/HttpStopTest.cpp
+++ b/test/HttpStopTest.cpp
@@ -219,4 +219,60 @@
         CHECK(Answered == Case.m_Callers * Case.m_Requests);
       }
   }
+
+  // Guards against a process that was frozen until after the time at which it
+  // closes idle connections, and that closes those whose requests arrived in
+  // the freeze with them.
+  TEST_CASE("a server that stops answers what arrived while it was frozen") {
+    struct Row {
+      const char *m_Name;
+      std::string m_Before; // Answered before the freeze.
+      std::string m_Text;   // Arrives in the freeze.
+      std::size_t m_Requests;
+    };
+    const Row Rows[] = {
+        {"a request on a new connection", "", get(), 1},
+        {"a request on a used connection", get(), get(), 1},
+        {"pipelined requests", get(), repeat(get(), 5), 5},
+        {"more than run at once", get(), repeat(get(), 12), 12},
+        {"a short upload", get(), upload(4), 1},
+        {"a streamed upload", get(), upload(200000), 1},
+        {"a request behind an upload", get(), upload(4) + get(), 2},
+    };
+    for (const Row &Case : Rows)
+      for (int Depth : {8, 1}) {
+        CAPTURE(std::string(Case.m_Name));
+        CAPTURE(Depth);
+        constexpr std::size_t Count = 10;
+        StopFixture Fixture(Depth);
+        std::deque<Caller> Callers;
+        for (std::size_t I = 0; I < Count; ++I)
+          Callers.emplace_back(Fixture.m_Port).send(Case.m_Before);
+        Fixture.runFor(100ms);
+        for (Caller &One : Callers)
+          One.send(Case.m_Text);
+        Fixture.m_ReadyAt = now() + 50ms;
+        // The timer of the stop comes before the reads.
+        Fixture.m_Server->disableKeepAlive();
+        Fixture.m_Server->stopAccepting();
+        std::size_t Requests = Case.m_Requests + !Case.m_Before.empty();
+        bool HasEnded = Fixture.runUntil(
+            4s, [&] { return !Fixture.m_Server->hasConnections(); },
+            [&] {
+              for (Caller &One : Callers) {
+                One.send("");
+                One.read(64U << 10U);
+                One.closeAfter(Requests);
+              }
+            });
+        CHECK(HasEnded);
+        Fixture.endProcess();
+        std::size_t Answered = 0;
+        for (Caller &One : Callers) {
+          One.read(64U << 10U);
+          Answered += One.wholeResponses();
+        }
+        CHECK(Answered == Count * Requests);
+      }
+  }
 }
