A stopping node answers on its other ports before it ends

What callers saw: a look-up, a readiness check, a scrape of the metrics or a long configuration on its way to a peer was cut as the process of a planned stop ended. The peer acts by its older configuration until it has the new one from elsewhere. Found by reading, not reported by users.

Cause: `Node::stop` waited for the connections of its ports for callers and detours only. Its ports for look-ups, readiness, peers and metrics were open until the end of the process, with whatever they were answering.

Change: once nothing is left on the carrying ports, the four others stop accepting, and the process waits for their connections, at most to the end of the grace. `waitForConnections` is a free function of net/Daemon.h, for other programs too. `request_cut` names what is cut on these ports as well.

Why it works: a connection belongs to its server from its acceptance, or from the listen queue at the close of the port, to its end; none is forgotten between two steps. The carrying ports come first, as look-ups and readiness tell callers to leave meanwhile.

--- a/net/Daemon.cpp
+++ b/net/Daemon.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::int64_t MaxPort = 65535;
 constexpr Duration LogFlushInterval = 200ms;
+constexpr Duration StopPollInterval = 20ms;
 
 const SettingTable CommonSettings{
     {"vm", "ip", SettingKind::Ip, nullptr, 0, 0, "", "IP address of this VM"},
@@ -100,6 +101,15 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+asio::awaitable<void> waitForConnections(std::vector<HttpServer *> Servers,
+                                         Time Until) {
+  auto IsOpen = [](const HttpServer *Server) {
+    return Server->hasConnections();
+  };
+  while (now() < Until && std::any_of(Servers.begin(), Servers.end(), IsOpen))
+    co_await sleepFor(StopPollInterval);
+}
+
 LogSession::LogSession(asio::io_context &Io, const LogSettings &Settings) {
   startLog(Settings);
   spawn(Io, []() -> asio::awaitable<void> {
--- a/net/Daemon.h
+++ b/net/Daemon.h
@@ -76,6 +76,10 @@
 
 // Suspends the coroutine without blocking the thread.
 asio::awaitable<void> sleepFor(Duration Length);
+// Waits until servers that have stopped accepting have no connections left, at
+// most until a time: a client can hold its connection for long.
+asio::awaitable<void> waitForConnections(std::vector<HttpServer *> Servers,
+                                         Time Until);
 // Runs a detached task on Io. Exceptions are logged.
 void spawn(asio::io_context &Io, asio::awaitable<void> Task);
 
--- a/test/NodeFixture.h
+++ b/test/NodeFixture.h
@@ -32,6 +32,8 @@
 inline constexpr std::uint16_t PeerPort = 7720;
 inline constexpr std::uint16_t MetricsPort = 9164;
 inline constexpr std::uint16_t DetourPort = 7721;
+inline constexpr std::uint16_t LookupPort = 8162;
+inline constexpr std::uint16_t ReadyPort = 8163;
 inline constexpr std::size_t ServerSlots = 2;
 
 // Several test runs may share the machine.
@@ -52,6 +54,8 @@
   Settings.m_PeerPort = PeerPort;
   Settings.m_MetricsPort = MetricsPort;
   Settings.m_DetourPort = DetourPort;
+  Settings.m_LookupPort = LookupPort;
+  Settings.m_ReadyPort = ReadyPort;
   Settings.m_RetrySlack = 60;
   Settings.m_MaxPipelinedRequests = PipelinedRequests;
   return Settings;
--- a/test/NodeStopTest.cpp
+++ b/test/NodeStopTest.cpp
@@ -3,6 +3,8 @@
 #include "test/NodeFixture.h"
 #include "test/RawResponses.h"
 
+#include <boost/asio/read.hpp>
+
 #include <thread>
 
 using namespace rhubarb;
@@ -202,3 +204,107 @@
     }
   }
 }
+
+TEST_SUITE("node_stop_ports") {
+  // Guards against a process that ends as soon as nothing is left on its ports
+  // for callers and detours, and cuts what its other ports are answering.
+  TEST_CASE("a planned stop answers the requests on all ports") {
+    struct Row {
+      const char *m_Name;
+      std::uint16_t m_Port;
+      const char *m_Target;
+    };
+    const Row Rows[] = {
+        {"look-ups", LookupPort, "/v1/lookup"},
+        {"readiness", ReadyPort, "/ready"},
+        {"a peer", PeerPort, "/v1/list"},
+        {"metrics", MetricsPort, "/metrics"},
+    };
+    constexpr std::size_t CallersPerPort = 10;
+    for (const Row &Case : Rows) {
+      CAPTURE(std::string(Case.m_Name));
+      NodeFixture Fixture({});
+      std::vector<std::string> Received(CallersPerPort);
+      std::deque<tcp::socket> Sockets;
+      asio::co_spawn(Fixture.m_Io, stopAfter(Fixture.m_Node, 0ms),
+                     [&](const std::exception_ptr &) { Fixture.m_Io.stop(); });
+      // The process gets no processor time while the requests arrive and the
+      // port for callers is due to close.
+      asio::co_spawn(
+          Fixture.m_Io,
+          [&]() -> asio::awaitable<void> {
+            co_await sleepFor(2900ms);
+            for (std::string &One : Received) {
+              tcp::socket &Socket = Sockets.emplace_back(Fixture.m_Io);
+              Socket.connect({asio::ip::make_address(nodeIp()), Case.m_Port});
+              asio::co_spawn(Fixture.m_Io,
+                             exchangeRaw(Socket, get(Case.m_Target), One),
+                             asio::detached);
+            }
+            co_await sleepFor(0ms); // The requests are written meanwhile.
+            std::this_thread::sleep_for(150ms);
+          },
+          asio::detached);
+      Fixture.finish();
+      std::size_t Whole = 0;
+      for (std::size_t I = 0; I < CallersPerPort; ++I) {
+        // What the node has written before its end.
+        boost::system::error_code Error;
+        std::string Rest(64U << 10U, '\0');
+        Sockets[I].non_blocking(true);
+        Rest.resize(Sockets[I].read_some(asio::buffer(Rest), Error));
+        std::string Text = Received[I] + Rest;
+        std::vector<RawResponse> All = splitResponses(Text);
+        Whole += All.size() == 1 && All[0].m_IsWhole ? 1 : 0;
+      }
+      CHECK(Whole == CallersPerPort);
+    }
+  }
+
+  // Guards against a long document that a peer loses as a VM stops, so that the
+  // peer acts by an older configuration until it has it from elsewhere.
+  TEST_CASE("a planned stop completes a configuration that a peer reads") {
+    constexpr std::size_t DocumentBytes = 16U << 20U;
+    NodeFixture Fixture({});
+    auto Parsed = platform::parseConfig(Config);
+    REQUIRE(Parsed);
+    Parsed.value().m_Revision = 2;
+    Fixture.m_Node.applyConfig(std::move(Parsed.value()),
+                               {2, std::string(DocumentBytes, ' ')});
+    std::string Received;
+    asio::co_spawn(Fixture.m_Io, stopAfter(Fixture.m_Node, 0ms),
+                   [&](const std::exception_ptr &) { Fixture.m_Io.stop(); });
+    // Reads slowly through a small window, from before the port for callers
+    // closes until after that.
+    tcp::socket Socket(Fixture.m_Io, tcp::v4());
+    constexpr std::size_t WindowBytes = 256U << 10U;
+    std::string Buffer(WindowBytes, '\0');
+    asio::co_spawn(
+        Fixture.m_Io,
+        [&]() -> asio::awaitable<void> {
+          co_await sleepFor(2500ms);
+          Socket.set_option(asio::socket_base::receive_buffer_size(
+              static_cast<int>(WindowBytes)));
+          Socket.connect({asio::ip::make_address(nodeIp()), PeerPort});
+          std::string Request = get("/v1/config");
+          co_await asio::async_write(Socket, asio::buffer(Request), Await);
+          for (bool IsOpen = true; IsOpen;) {
+            auto [Error, Bytes] =
+                co_await asio::async_read(Socket, asio::buffer(Buffer), Await);
+            Received.append(Buffer, 0, Bytes);
+            IsOpen = !Error;
+            co_await sleepFor(20ms);
+          }
+        },
+        asio::detached);
+    Fixture.finish();
+    // What the node has written is sent after the end of its process, too.
+    Socket.non_blocking(true);
+    boost::system::error_code Error;
+    for (Time End = now() + 2s; now() < End && Error != asio::error::eof;)
+      Received.append(Buffer, 0, Socket.read_some(asio::buffer(Buffer), Error));
+    std::vector<RawResponse> All = splitResponses(Received);
+    REQUIRE(All.size() == 1);
+    CHECK(All[0].m_Body.size() == DocumentBytes);
+  }
+}
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -277,17 +277,35 @@
   const std::vector<HttpServer *> Carrying{&m_CallerServer, &m_DetourServer};
   co_await waitForConnections(Carrying, End);
   logOpenRequests("drained");
-  for (const HttpServer *Server : {&m_CallerServer, &m_DetourServer})
-    for (const OpenRequest &Cut : Server->openRequests())
+  // Until here look-ups and readiness have told callers to leave, and peers
+  // have been served.
+  const std::vector<HttpServer *> Others{&m_LookupServer, &m_ReadyServer,
+                                         &m_PeerServer, &m_MetricsServer};
+  for (HttpServer *Server : Others)
+    Server->stopAccepting();
+  co_await waitForConnections(Others, End);
+  logCutRequests();
+  m_Stopped = true;
+}
+
+void Node::logCutRequests() const {
+  struct Row {
+    const HttpServer &m_Server;
+    const char *m_Port;
+  };
+  for (const Row &Each :
+       {Row{m_CallerServer, "callers"}, Row{m_DetourServer, "detours"},
+        Row{m_LookupServer, "look-ups"}, Row{m_ReadyServer, "readiness"},
+        Row{m_PeerServer, "peers"}, Row{m_MetricsServer, "metrics"}})
+    for (const OpenRequest &Cut : Each.m_Server.openRequests())
       logEvent(Severity::Warning, "request_cut",
                {{"id", std::string(findHeader(Cut.m_Headers,
                                               m_HeaderNames.m_RequestId))},
-                {"port", Server == &m_CallerServer ? "callers" : "detours"},
+                {"port", Each.m_Port},
                 {"peer", Cut.m_PeerIp},
                 {"target", Cut.m_Target},
                 {"stage", std::string(requestStageName(Cut.m_Stage))},
                 {"ms", std::to_string(Cut.m_Age / 1ms)}});
-  m_Stopped = true;
 }
 
 void Node::logOpenRequests(std::string_view Event) const {
@@ -315,15 +333,6 @@
             {"after_ms", std::to_string((now() - m_LeavingSince) / 1ms)}});
 }
 
-asio::awaitable<void>
-Node::waitForConnections(std::vector<HttpServer *> Servers, Time Until) {
-  auto IsOpen = [](const HttpServer *Server) {
-    return Server->hasConnections();
-  };
-  while (now() < Until && std::any_of(Servers.begin(), Servers.end(), IsOpen))
-    co_await sleepFor(TickInterval);
-}
-
 std::vector<std::string> Node::applySettings(const NodeSettings &Next) {
   std::vector<std::string> NeedRestart;
   if (Next.m_Ip != m_Settings.m_Ip || Next.m_Domain != m_Settings.m_Domain ||
--- a/tools/rhubarb-node/Node.h
+++ b/tools/rhubarb-node/Node.h
@@ -407,11 +407,10 @@
   // --- Periodic work and health (Node.cpp)
   // Returns when a process that is shutting down ends.
   Time stopTime() const;
-  // Waits until servers that have stopped accepting have no connections left.
-  static asio::awaitable<void>
-  waitForConnections(std::vector<HttpServer *> Servers, Time Until);
   // Logs how far the requests on the ports for callers and detours have come.
   void logOpenRequests(std::string_view Event) const;
+  // Logs each request on any port that the end of the process cuts.
+  void logCutRequests() const;
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> healthCheckLoop();
   // Keeps connections open to the servers of other regions that the region's
