Entry, look-up, agent and operator port answer before their process ends

What callers saw: as rhubarb-entry, rhubarb-lookup or rhubarb-steer stop, requests that have arrived get no answer, and a long document on the operator port, such as the status of a large fleet, is cut. Found by reading, not reported by users.

Change: each stops accepting and calls `waitForConnections`. rhubarb-entry waits on its ports for requests, then control, to the end of `entry.drain_ms`, as before; the others and the operator port wait for at most 5 s (`ConnectionEndDuration`). rhubarb-lookup's wait had no bound. `HttpServer::activeRequests` has no user left and is gone; its check in unit.http_pipeline is `openRequests().empty()`, which was the same number.

Each connection ends by itself after stopAccepting(), at once if it is idle; the bound holds for clients that read slowly.

--- a/net/Daemon.cpp
+++ b/net/Daemon.cpp
@@ -82,13 +82,17 @@
   co_return jsonResponse(404, "{\"error\":\"not_found\"}\n");
 }
 
-asio::awaitable<void> waitForStop(Daemon &Program, const DaemonHooks &Hooks) {
+asio::awaitable<void> waitForStop(Daemon &Program, const DaemonHooks &Hooks,
+                                  HttpServer &OperatorServer) {
   asio::signal_set Signals(Program.m_Io, SIGTERM, SIGINT);
   co_await Signals.async_wait(asio::as_tuple(asio::use_awaitable));
   Time Start = now();
   logEvent(Severity::Info, "stopping");
   if (Hooks.m_Stop)
     co_await Hooks.m_Stop();
+  OperatorServer.stopAccepting();
+  const std::vector<HttpServer *> Servers{&OperatorServer};
+  co_await waitForConnections(Servers, now() + ConnectionEndDuration);
   std::int64_t Millis = (now() - Start) / std::chrono::milliseconds(1);
   logEvent(Severity::Info, "stopped", {{"drain_ms", std::to_string(Millis)}});
   Program.m_Io.stop();
@@ -178,7 +182,7 @@
   }
   logEvent(Severity::Info, "started",
            {{"vm", Values.text("vm.ip")}, {"version", RHUBARB_VERSION}});
-  spawn(Program.m_Io, waitForStop(Program, Hooks));
+  spawn(Program.m_Io, waitForStop(Program, Hooks, OperatorServer));
   Program.m_Io.run();
   return ExitOk;
 }
--- a/net/Daemon.h
+++ b/net/Daemon.h
@@ -76,6 +76,8 @@
 
 // Suspends the coroutine without blocking the thread.
 asio::awaitable<void> sleepFor(Duration Length);
+// Time for which a stop waits for connections where no setting limits it.
+inline constexpr Duration ConnectionEndDuration = 5s;
 // Waits until servers that have stopped accepting have no connections left, at
 // most until a time: a client can hold its connection for long.
 asio::awaitable<void> waitForConnections(std::vector<HttpServer *> Servers,
--- a/net/Http.h
+++ b/net/Http.h
@@ -255,8 +255,6 @@
   // the response, so the process of a planned stop may end when this is false.
   bool hasConnections() const;
   int connections() const;
-  // Returns the number of openRequests().
-  int activeRequests() const;
   // Returns the requests that have been read at least in part, and whose
   // responses are not completely written or whose connections are being closed.
   std::vector<OpenRequest> openRequests() const;
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -1067,13 +1067,6 @@
   return connections() > 0 || m_Connections->m_ClosingRefused > 0;
 }
 
-int HttpServer::activeRequests() const {
-  std::size_t Sum = 0;
-  for (const ConnectionPtr &Client : m_Connections->m_Open)
-    Sum += Client->m_Requests.size();
-  return static_cast<int>(Sum);
-}
-
 int HttpServer::connections() const {
   return static_cast<int>(m_Connections->m_Open.size());
 }
--- a/test/HttpPipelineTest.cpp
+++ b/test/HttpPipelineTest.cpp
@@ -189,7 +189,7 @@
       CHECK(Fixture.m_Seen.m_MostRunning == Case.m_MostRunning);
       CHECK(Fixture.m_Seen.m_Closed.empty());
       CHECK(Fixture.m_Server.connections() == 0);
-      CHECK(Fixture.m_Server.activeRequests() == 0);
+      CHECK(Fixture.m_Server.openRequests().empty());
     }
   }
 
--- a/tools/rhubarb-entry/Entry.cpp
+++ b/tools/rhubarb-entry/Entry.cpp
@@ -151,11 +151,11 @@
   if (HandedOver)
     co_await sleepFor(Values.millis("entry.linger_ms"));
   m_RequestServer.stopAccepting();
-  while ((m_RequestServer.activeRequests() > 0 ||
-          m_ControlServer.activeRequests() > 0) &&
-         now() < DrainDeadline)
-    co_await sleepFor(StopPollInterval);
+  const std::vector<HttpServer *> ForCallers{&m_RequestServer};
+  co_await waitForConnections(ForCallers, DrainDeadline);
   m_ControlServer.stopAccepting();
+  const std::vector<HttpServer *> ForControl{&m_ControlServer};
+  co_await waitForConnections(ForControl, DrainDeadline);
   m_Stopped = true;
 }
 
--- a/tools/rhubarb-lookup/Lookup.cpp
+++ b/tools/rhubarb-lookup/Lookup.cpp
@@ -14,7 +14,6 @@
 
 constexpr std::int64_t MaxPort = 65535;
 constexpr std::size_t MaxResponseEntries = 6;
-constexpr Duration StopPollInterval = 20ms;
 
 } // namespace
 
@@ -86,8 +85,8 @@
   m_Stopped = true;
   m_Server.stopAccepting();
   m_ControlServer.stopAccepting();
-  while (m_Server.activeRequests() > 0)
-    co_await sleepFor(StopPollInterval);
+  const std::vector<HttpServer *> Servers{&m_Server, &m_ControlServer};
+  co_await waitForConnections(Servers, now() + ConnectionEndDuration);
 }
 
 Result<int> Lookup::loadClientBlocks(const std::string &File) {
--- a/tools/rhubarb-steer/Agent.cpp
+++ b/tools/rhubarb-steer/Agent.cpp
@@ -121,7 +121,8 @@
 asio::awaitable<void> Agent::stop() {
   m_Stopped = true;
   m_Server.stopAccepting();
-  co_return;
+  const std::vector<HttpServer *> Servers{&m_Server};
+  co_await waitForConnections(Servers, now() + ConnectionEndDuration);
 }
 
 asio::awaitable<HttpResponse> Agent::handleRequest(HttpRequest Request) {
