--- a/net/Http.h
+++ b/net/Http.h
@@ -258,8 +258,6 @@
   // stopAccepting() do not count: no handler has seen it.
   bool hasConnections() const;
   int connections() const;
-  // Returns the number of openRequests().
-  int activeRequests() const;
   // Returns the requests that have been read at least in part, and whose
   // responses are not completely written or whose connections are being closed.
   std::vector<OpenRequest> openRequests() const;
