Soak: LOST counts every broken request around a planned stop; uploads and kept addresses

Cause: the check took first attempts sent after a SIGTERM only. It missed requests in progress when the signal came, retries, calls of callers that soon give up, and the second stop of a node within 6 s, as that of a process started meanwhile. Callers left a stopping node within 2 s, so hardly any request was there after its port had closed, and no body was longer than 4 KB.

Change: each attempt whose connection ended without a whole response counts if its node was told to stop before the end, and less than the grace before the request was sent. Each SIGTERM counts. What counted before still does, except that a request within two stops is reported once. The callers of every third object keep their address until it fails.

Uploads were counted before as well: a connection that ends while the request is being written or before its response reads as Incomplete.

--- a/standins/site/Callers.cpp
+++ b/standins/site/Callers.cpp
@@ -20,6 +20,9 @@
 constexpr Duration AbandonDeadline = 20ms;
 // Share of calls that their caller abandons.
 constexpr double AbandonShare = 0.03;
+// The callers of every object of this multiple use their address until it
+// fails, whatever a lookup says.
+constexpr std::uint64_t KeepsAddressObjects = 3;
 // Delays below ten seconds are written like 0.300.
 constexpr std::size_t ShortDelayLength = 5;
 
@@ -118,15 +121,22 @@
                                                 CallClass Class,
                                                 Duration Remaining,
                                                 bool IsFirst, bool &NoRetry) {
-  std::string Address = co_await lookUp(Domain);
+  std::uint64_t Object =
+      m_Random.below(static_cast<std::uint64_t>(Class.m_Objects));
+  bool KeepsAddress = Object % KeepsAddressObjects == 0;
+  std::string Address;
+  if (KeepsAddress)
+    Address = m_KeptAddresses[{Domain, Object}];
+  if (Address.empty())
+    Address = co_await lookUp(Domain);
+  if (KeepsAddress)
+    m_KeptAddresses[{Domain, Object}] = Address;
   if (Address.empty()) {
     ++countsOf(Class).m_ByOutcome["no address"];
     NoRetry = false;
     co_return Duration(std::chrono::milliseconds(100));
   }
   std::string Id = randomId();
-  std::uint64_t Object =
-      m_Random.below(static_cast<std::uint64_t>(Class.m_Objects));
   HttpRequest Request;
   Request.m_Method = Class.m_Method;
   Request.m_Target = Class.m_Prefix + std::to_string(Object);
@@ -137,7 +147,7 @@
                      std::to_string(Object)},
       {m_Names.m_Deadline,
        std::to_string(Remaining / std::chrono::milliseconds(1))}};
-  Request.m_Body = std::string(Class.m_BodyBytes, 'b');
+  Request.m_Body = std::string(Class.m_BodyBytes * (Object + 1), 'b');
   std::string VmIp = Address.substr(0, Address.rfind(':'));
   m_Settings.m_Organisations->prepareCall(Request, Id, VmIp, now());
   m_Settings.m_Regions->recordSent(Id, VmIp, now());
@@ -156,9 +166,13 @@
   bool Answered = CallResult.m_Failure == HttpFailure::None &&
                   CallResult.m_Response.m_Status == 200;
   countsOf(Class).m_WaitingAnswered += Answered && !Abandons ? 1 : 0;
+  const CallTry Try{Id, Class.m_Prefix, VmIp, SentAt, now(), Answered};
   if (IsFirst && !Abandons && Class.m_CallsPerSecond > 0)
-    m_FirstTries.push_back({Id, Class.m_Prefix, VmIp, SentAt, now(), Answered,
-                            CallResult.m_Failure == HttpFailure::Incomplete});
+    m_FirstTries.push_back(Try);
+  if (CallResult.m_Failure == HttpFailure::Incomplete)
+    m_BrokenTries.push_back(Try);
+  if (KeepsAddress && CallResult.m_Failure != HttpFailure::None && !Abandons)
+    m_KeptAddresses.erase({Domain, Object});
   NoRetry = Answered || Abandons ||
             (!Class.m_Idempotent && !GuaranteedNotRun &&
              CallResult.m_Failure != HttpFailure::Connect);
--- a/standins/site/Callers.h
+++ b/standins/site/Callers.h
@@ -20,6 +20,7 @@
   double m_CallsPerSecond = 20;
   Duration m_Deadline = 3s;
   int m_Objects = 20;
+  // Body size of object 0. That of object N is N + 1 times as large.
   std::size_t m_BodyBytes = 0;
 };
 
@@ -53,16 +54,14 @@
   std::map<std::string, int> m_ByOutcome;
 };
 
-// The first attempt of a call.
-struct FirstTry {
+// An attempt of a call.
+struct CallTry {
   std::string m_Id;
   std::string m_Prefix;
   std::string m_VmIp;
   Time m_SentAt{0};
   Time m_EndedAt{0};
   bool m_Served = false;
-  // The connection ended without a whole response to a request that was sent.
-  bool m_Broken = false;
 };
 
 // Sends calls and checks the responses.
@@ -78,7 +77,10 @@
   int inFlight() const { return m_InFlight; }
   const CallCounts &counts() const { return m_Counts; }
   // First attempts of the calls that their callers did not abandon.
-  const std::vector<FirstTry> &firstTries() const { return m_FirstTries; }
+  const std::vector<CallTry> &firstTries() const { return m_FirstTries; }
+  // Attempts, retries too, whose connection ended without a whole response to
+  // a request that was sent.
+  const std::vector<CallTry> &brokenTries() const { return m_BrokenTries; }
   // Runs the checks that need the records of the whole run. Returns every
   // violation, including those found while calls were in flight.
   std::vector<std::string> verify() const;
@@ -114,7 +116,11 @@
   std::map<std::string, CachedLookup> m_LookupCache;
   std::map<std::string, CallRecord> m_CallRecords;
   std::vector<std::string> m_Violations;
-  std::vector<FirstTry> m_FirstTries;
+  // Address of the callers that change it only after a failure, by failure
+  // domain and object.
+  std::map<std::pair<std::string, std::uint64_t>, std::string> m_KeptAddresses;
+  std::vector<CallTry> m_FirstTries;
+  std::vector<CallTry> m_BrokenTries;
   CallCounts m_Counts;
   CallCounts m_SingleCounts; // Of the calls of sendOnce().
   int m_InFlight = 0;
--- a/standins/site/Site.cpp
+++ b/standins/site/Site.cpp
@@ -538,7 +538,7 @@
   for (const Cut &Each : m_Cuts) {
     Tries AtCut;
     Tries Elsewhere;
-    for (const FirstTry &Try : m_Callers->firstTries()) {
+    for (const CallTry &Try : m_Callers->firstTries()) {
       if (Try.m_SentAt < Each.m_From + StableWindow ||
           (Each.m_Until.count() > 0 && Try.m_SentAt >= Each.m_Until) ||
           overlapsNodeDisturbance(Try.m_VmIp, Try.m_SentAt) ||
@@ -565,23 +565,16 @@
 }
 
 void Site::addPlannedStop(std::size_t Node) {
-  std::string Ip = nodeIp(static_cast<int>(Node));
-  auto [First, Last] = m_PlannedStops.equal_range(Ip);
-  // The process may be stopping already.
-  if (std::all_of(First, Last, [](const auto &Stop) {
-        return now() - Stop.second > GracePeriod;
-      }))
-    m_PlannedStops.emplace(Ip, now());
+  m_PlannedStops.emplace(nodeIp(static_cast<int>(Node)), now());
 }
 
 // Tells when what happened to a request, counted from the stop of its node.
-std::string Site::lostText(const FirstTry &Try, Time StopAt) const {
+std::string Site::lostText(const CallTry &Try, Time StopAt) const {
   auto After = [StopAt](Time At) {
     return std::to_string((At - StopAt) / 1ms) + " ms";
   };
   std::string Text = "lost: a request sent " + After(Try.m_SentAt) +
-                     " after its node was told to stop was read and got no "
-                     "answer (" +
+                     " after its node was told to stop got no answer (" +
                      Try.m_Id + " on " + Try.m_Prefix + ", cut after " +
                      After(Try.m_EndedAt);
   if (auto Found = m_Records.find(Try.m_Id); Found != m_Records.end()) {
@@ -593,13 +586,18 @@
   return Text + ")";
 }
 
-// A node that was told to stop and takes a request must answer it.
+// A node that takes a request must answer it, if it was told to stop before or
+// is told so meanwhile.
 void Site::verifyPlannedStops(std::vector<std::string> &Violations) const {
-  for (const auto &[Ip, At] : m_PlannedStops)
-    for (const FirstTry &Try : m_Callers->firstTries())
-      if (Try.m_VmIp == Ip && Try.m_Broken && Try.m_SentAt > At &&
-          Try.m_SentAt < At + GracePeriod)
-        Violations.push_back(lostText(Try, At));
+  for (const CallTry &Try : m_Callers->brokenTries()) {
+    auto [First, Last] = m_PlannedStops.equal_range(Try.m_VmIp);
+    auto Stop = std::find_if(First, Last, [&](const auto &Row) {
+      return Row.second < Try.m_EndedAt &&
+             Try.m_SentAt < Row.second + GracePeriod;
+    });
+    if (Stop != Last)
+      Violations.push_back(lostText(Try, Stop->second));
+  }
 }
 
 std::vector<std::string> Site::verify() const {
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -110,7 +110,7 @@
     m_NodeDisturbances.emplace(nodeIp(static_cast<int>(Node)),
                                std::pair(From, Until + StableWindow));
   }
-  // Records that a node was told to stop.
+  // Records that a node was told to stop, perhaps again.
   void addPlannedStop(std::size_t Node);
   // Requires each server to get at least this share of the rate that it names.
   void setMinLimitUse(double Share) { m_MinLimitUse = Share; }
@@ -132,7 +132,7 @@
   void verifyRateLimits(std::vector<std::string> &Violations) const;
   void verifyConfig(std::vector<std::string> &Violations) const;
   void verifyEvacuations(std::vector<std::string> &Violations) const;
-  std::string lostText(const FirstTry &Try, Time StopAt) const;
+  std::string lostText(const CallTry &Try, Time StopAt) const;
   void verifyPlannedStops(std::vector<std::string> &Violations) const;
   void verifyCuts(std::vector<std::string> &Violations) const;
   void verifyDeadlyCalls(std::vector<std::string> &Violations) const;
