Soak: requests that end together around a planned stop

Cause: the soak stopped nodes with few requests, which ended one by one, so it could not find a process that ends between a response and its writing.

Change: three faults. node_term_together stops a node; its servers hold their answers to it and send all of them 150 to 500 ms after the port has closed, while its processor time comes in slices of a fraction of a millisecond, 30 to 60 ms apart. node_stutter takes the processor time once and is excused from nothing. server_held_answers lets one server hold its answers to all VMs for 1 to 1.6 s.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -14,8 +14,16 @@
 
 namespace {
 
-// Link: between nodes and servers.
-enum class FaultTarget : std::uint8_t { Node, Link, Store, Server, Operator };
+// Link: between nodes and servers. Processor: processor time of a node, whose
+// faults are too short to be excused.
+enum class FaultTarget : std::uint8_t {
+  Node,
+  Processor,
+  Link,
+  Store,
+  Server,
+  Operator
+};
 
 struct FaultSpec {
   const char *m_Name;
@@ -25,6 +33,8 @@
 constexpr FaultSpec FaultTable[] = {
     {"node_kill", FaultTarget::Node},
     {"node_term", FaultTarget::Node},
+    {"node_term_together", FaultTarget::Node},
+    {"node_stutter", FaultTarget::Processor},
     {"node_freeze", FaultTarget::Node},
     {"node_hup", FaultTarget::Node},
     {"herd_kill", FaultTarget::Node},
@@ -57,6 +67,7 @@
     {"server_resets", FaultTarget::Server},
     {"server_links_silent", FaultTarget::Server},
     {"server_delay", FaultTarget::Server},
+    {"server_held_answers", FaultTarget::Server},
     {"server_deadly_call", FaultTarget::Server},
     {"server_limits", FaultTarget::Server},
     {"server_limits_all", FaultTarget::Server},
@@ -88,6 +99,9 @@
 // Requests per second that a limited server takes.
 constexpr double MinRateLimit = 1;
 constexpr double MaxRateLimit = 6;
+// Time for which a node gets no processor time.
+constexpr Duration MinStutter = 30ms;
+constexpr Duration MaxStutter = 60ms;
 
 } // namespace
 
@@ -162,8 +176,8 @@
     case FaultTarget::Store: {
       Time StartedAt = now();
       // Beside these faults every VM hears of new keys.
-      if (Name != "node_kill" && Name != "node_term" && Name != "node_hup" &&
-          Name != "store_refuses_one")
+      if (Name != "node_kill" && !Name.starts_with("node_term") &&
+          Name != "node_hup" && Name != "store_refuses_one")
         m_Site.organisations().excuseKeys(now() + MaxFaultTime +
                                           site::StableWindow);
       if (Spec.m_Target == FaultTarget::Node)
@@ -173,6 +187,9 @@
       m_Site.addDisturbance(StartedAt, now());
       break;
     }
+    case FaultTarget::Processor:
+      co_await stutter(m_Random.below(m_Nodes.size()));
+      break;
     case FaultTarget::Link:
       co_await injectLinkFault(Name);
       break;
@@ -196,10 +213,14 @@
   if (Name == "node_kill") {
     m_Nodes.signal(Index, SIGKILL);
     Disturb(Index, RestartTime);
-  } else if (Name == "node_term") {
+  } else if (Name == "node_term_together" && m_EndingTogether.contains(Index)) {
+    co_return;
+  } else if (Name.starts_with("node_term")) {
     m_Nodes.signal(Index, SIGTERM);
     m_Site.addPlannedStop(Index);
     Disturb(Index, GracePeriod + RestartTime);
+    if (Name == "node_term_together")
+      spawn(m_Io, endTogether(Index));
   } else if (Name == "node_hup") {
     m_Nodes.signal(Index, SIGHUP);
   } else if (Name == "herd_kill") {
@@ -215,6 +236,39 @@
   }
 }
 
+asio::awaitable<void> FaultInjector::stutter(std::size_t Index) {
+  m_Nodes.signal(Index, SIGSTOP);
+  co_await sleepFor(randomDuration(MinStutter, MaxStutter));
+  m_Nodes.signal(Index, SIGCONT);
+}
+
+// The requests that a stopping node has left when its port is closed get their
+// responses at one moment, at which its processor time comes in short slices:
+// a slice may end at any step of a response, and timers expire before the next.
+asio::awaitable<void> FaultInjector::endTogether(std::size_t Index) {
+  constexpr Duration PortCloses = GracePeriod / 2;
+  constexpr Duration MaxAfterClose = 500ms;
+  // The requests that a node has in this time find free slots.
+  constexpr Duration MaxHold = 1200ms;
+  constexpr Duration StutterBefore = 10ms;
+  constexpr int Slices = 6;
+  constexpr Duration MaxSlice = 200us;
+  ++m_Active;
+  m_EndingTogether.insert(Index);
+  Time Release = now() + PortCloses + randomDuration(150ms, MaxAfterClose);
+  Duration Hold = randomDuration(MaxAfterClose, MaxHold);
+  co_await sleepFor(Release - Hold - now());
+  for (auto &Server : m_Site.servers())
+    Server->holdAnswers(Release, m_Site.nodeIp(static_cast<int>(Index)));
+  co_await sleepFor(Release - StutterBefore - now());
+  for (int I = 0; I < Slices; ++I) {
+    co_await stutter(Index);
+    co_await sleepFor(randomDuration(0ms, MaxSlice));
+  }
+  m_EndingTogether.erase(Index);
+  --m_Active;
+}
+
 // Cuts one node, or all nodes of a failure domain, off from the servers.
 asio::awaitable<void> FaultInjector::injectLinkFault(std::string Name) {
   std::size_t Index = m_Random.below(m_Nodes.size());
@@ -337,6 +391,10 @@
     m_Site.replaceServer(Index, Name == "server_drain");
     co_return;
   }
+  if (Name == "server_held_answers") {
+    m_Site.servers()[Index]->holdAnswers(now() + randomDuration(1s, 1600ms));
+    co_return;
+  }
   if (Name == "server_resets") {
     m_Site.serverProxy(Index).resetOpenConnections();
     co_return;
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -28,6 +28,8 @@
 private:
   net::asio::awaitable<void> inject(std::string Name);
   net::asio::awaitable<void> injectNodeFault(std::string Name);
+  net::asio::awaitable<void> stutter(std::size_t Index);
+  net::asio::awaitable<void> endTogether(std::size_t Index);
   net::asio::awaitable<void> injectLinkFault(std::string Name);
   net::asio::awaitable<void> injectStoreFault(std::string Name);
   net::asio::awaitable<void> injectServerFault(std::string Name);
@@ -46,6 +48,7 @@
   int m_Active = 0;
   std::set<std::size_t> m_CutNodes; // Cut off from servers at present.
   Time m_RestoredAt{0};
+  std::set<std::size_t> m_EndingTogether; // Nodes in endTogether().
   bool m_SendingDeadlyCalls = false;
 };
 
--- a/standins/site/Servers.cpp
+++ b/standins/site/Servers.cpp
@@ -282,6 +282,11 @@
   if (m_Random.uniform() < m_Faults.m_ExtraResponseShare)
     Response.m_ExtraBytes = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" +
                             m_Names.m_RequestId + ": other\r\n\r\nother";
+  Time HoldUntil = std::max(m_HoldUntil[""], m_HoldUntil[Request.m_PeerIp]);
+  if (now() < HoldUntil) {
+    co_await sleepFor(HoldUntil - now());
+    Response.m_AbortConnection = Response.m_AbortConnection || !m_Running;
+  }
   co_return Response;
 }
 
--- a/standins/site/Servers.h
+++ b/standins/site/Servers.h
@@ -88,6 +88,11 @@
   // Removes the server's entry from the store.
   void expire();
   void setFaults(ServerFaults Faults) { m_Faults = Faults; }
+  // Sends the responses of runs that end before Until at that time, together:
+  // those to all VMs or, if it is not empty, to that of an IP address.
+  void holdAnswers(Time Until, const std::string &VmIp = "") {
+    m_HoldUntil[VmIp] = std::max(m_HoldUntil[VmIp], Until);
+  }
 
   const std::string &id() const { return m_Id; }
   const ServerProfile &profile() const { return m_Profile; }
@@ -141,6 +146,7 @@
   Reachability m_Reach;
   std::unique_ptr<HttpServer> m_Server;
   ServerFaults m_Faults;
+  std::map<std::string, Time> m_HoldUntil; // By IP address; empty: all VMs.
   std::int64_t m_StartedUnixMs = 0;
   Time m_StartedAt{0};
   Time m_WithdrawnAt{0};
