--- a/net/Http.h
+++ b/net/Http.h
@@ -129,6 +129,10 @@
   std::size_t m_Bytes = 0;
 };
 
+// Returns the value of the first header field with a name, or an empty string.
+std::string_view findHeader(const std::vector<HeaderField> &Fields,
+                            std::string_view Name);
+
 // A request. The body is complete unless m_BodyStream is set.
 struct HttpRequest {
   std::string m_Method = "GET";
@@ -208,6 +212,29 @@
 // Returns the limits for ports that serve control-plane messages.
 HttpServerLimits controlServerLimits();
 
+// How far a server has come with a request.
+enum class RequestStage : std::uint8_t {
+  Head,    // Its head arrives.
+  Waiting, // Its head is complete, and it waits for those before it.
+  Body,    // Its body arrives, and its handler has not started.
+  Running, // Its handler runs.
+  Ready,   // Its response waits for those before it, or for the reader.
+  Writing, // Its response is written.
+  Closing, // Its response is written, and its connection is being closed.
+};
+// Returns the name used in logs.
+std::string_view requestStageName(RequestStage Value);
+
+// A request between its first byte and the end of its response, as a server
+// reports it.
+struct OpenRequest {
+  RequestStage m_Stage = RequestStage::Head;
+  Duration m_Age{0}; // Since its first byte was read.
+  std::string m_PeerIp;
+  std::string m_Target;               // Empty until the head is complete.
+  std::vector<HeaderField> m_Headers; // Empty until the head is complete.
+};
+
 // Accepts connections and passes each request to a handler.
 class HttpServer {
 public:
@@ -224,11 +251,19 @@
   // that have arrived complete; the last response of a connection says
   // Connection: close.
   void stopAccepting();
-  // Returns the number of requests in progress.
-  int activeRequests() const { return m_ActiveRequests; }
-  // Whether requests are in progress, or have arrived and are still to be read.
-  bool hasRequests() const;
-  int connections() const { return static_cast<int>(m_Connections.size()); }
+  // Whether the process of a planned stop has to wait for connections: all that
+  // are open, also refused ones that are being closed. A request belongs to its
+  // connection from its first byte until the client has taken the response.
+  // Connections that have nothing but an incomplete request some time after
+  // stopAccepting() do not count: no handler has seen it.
+  bool hasConnections() const;
+  int connections() const;
+  // Returns the requests that have been read at least in part, and whose
+  // responses are not completely written or whose connections are being closed.
+  std::vector<OpenRequest> openRequests() const;
+  // Returns the number of connections on which bytes have arrived that belong
+  // to none of these requests.
+  int unreadConnections() const;
   // Sets the hook called for each request that is refused before the handler
   // runs.
   void onRefusal(std::function<void(ErrorKind)> Hook) {
@@ -238,12 +273,15 @@
 private:
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
+  struct ConnectionTable;
+  class ConnectionScope;
+  class CountScope;
   struct ReceivedRequest;
   class Pipeline; // Serves a connection with several requests at once.
-  asio::awaitable<void> acceptLoop();
+  asio::awaitable<void> acceptLoop(std::unique_ptr<CountScope> Scope);
   // Serves an accepted connection, or refuses it.
   void admit(asio::ip::tcp::socket Socket);
-  asio::awaitable<void> serveConnection(ConnectionPtr Client);
+  asio::awaitable<void> serveConnection(std::unique_ptr<ConnectionScope> Scope);
   asio::awaitable<bool> serveRequest(ConnectionPtr Client);
   // Reads the start line and header of a request. Sets the error of one that
   // cannot be read.
@@ -260,8 +298,11 @@
                                        HttpRequest Request);
   // Runs the handler. The caller watches for a disconnect.
   asio::awaitable<HttpResponse> runHandler(HttpRequest Request);
-  asio::awaitable<bool> respond(ConnectionPtr Client, HttpResponse Response,
-                                bool KeepAlive, bool IsHead,
+  // Writes the response to a request that the caller keeps until the end.
+  // Returns whether the connection can be reused.
+  asio::awaitable<bool> respond(ConnectionPtr Client, ReceivedRequest &To,
+                                HttpResponse Response, bool KeepAlive,
+                                bool IsHead,
                                 BodyStreamPtr RequestBody = nullptr);
   asio::awaitable<void> waitForBodyReader(ConnectionPtr Client,
                                           BodyStreamPtr Body);
@@ -277,7 +318,8 @@
   // the limit, or 0 if connections are not counted.
   std::size_t bytesKeptFree(std::size_t Divisor) const;
   // Answers a connection that does not fit into the budget with BuffersFull.
-  asio::awaitable<void> refuseConnection(asio::ip::tcp::socket Socket);
+  asio::awaitable<void> refuseConnection(asio::ip::tcp::socket Socket,
+                                         std::unique_ptr<CountScope> Scope);
   void reportRefusal(ErrorKind Kind) const;
 
   asio::io_context &m_Io;
@@ -286,10 +328,7 @@
   HttpHandler m_Handler;
   std::function<void(ErrorKind)> m_OnRefusal;
   asio::ip::tcp::acceptor m_Acceptor;
-  std::set<std::shared_ptr<Connection>> m_Connections;
-  std::map<std::string, int> m_ConnectionsPerIp;
-  int m_ActiveRequests = 0;
-  int m_ClosingRefused = 0; // Refused connections that are not closed yet.
+  std::shared_ptr<ConnectionTable> m_Connections;
   bool m_KeepAliveDisabled = false;
   bool m_Stopping = false;
   Time m_StoppingSince{0};
--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -1,6 +1,8 @@
 #include "net/Clock.h"
 #include "net/HttpBody.h"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +16,10 @@
 namespace {
 
 using asio::ip::tcp;
+
+constexpr std::array<std::string_view, 7> StageNames{
+    "head", "waiting", "body", "running", "ready", "writing", "closing"};
+
 using RequestParser = http::request_parser<http::buffer_body>;
 
 // Limit on the bodies of control requests; fits snapshots and key handovers.
@@ -28,6 +34,9 @@
 // For this long after stopAccepting() requests that have arrived are still
 // read.
 constexpr Duration ReadOnDuration = 2s;
+// Requests that are incomplete this long after stopAccepting() hold the process
+// no longer: a client that has stopped sending would keep it from ending.
+constexpr Duration IncompleteReadDuration = 1s;
 // While a connection is not read, an end of it is looked for this often.
 constexpr Duration CloseCheckInterval = 200ms;
 // Parts of the budget that callers leave free, as divisors of its limit, where
@@ -100,21 +109,45 @@
   return Sum;
 }
 
-// Watches for the close of a connection while its request is handled. A
-// pipelined request is left in the socket for the next read. Owner keeps the
-// socket alive until the watch has ended.
-void watchForClose(tcp::socket &Socket, std::shared_ptr<ClientConnection> State,
-                   std::shared_ptr<void> Owner) {
-  Socket.async_wait(
+// Watches for the close of a connection while a handler runs. Ends without
+// cancelling other operations of the socket, as the body of the request may be
+// read on behind its handler.
+class CloseWatch : public std::enable_shared_from_this<CloseWatch> {
+public:
+  CloseWatch(tcp::socket &Socket, std::shared_ptr<ClientConnection> State)
+      : m_Socket(Socket), m_State(std::move(State)) {}
+  // A pipelined request is left in the socket for the next read. Owner keeps
+  // the socket alive until the watch has ended.
+  void begin(std::shared_ptr<void> Owner);
+  void end();
+
+private:
+  tcp::socket &m_Socket;
+  std::shared_ptr<ClientConnection> m_State;
+  asio::cancellation_signal m_Cancel; // Of the outstanding wait.
+  bool m_Ended = false;
+};
+
+void CloseWatch::begin(std::shared_ptr<void> Owner) {
+  m_Socket.async_wait(
       tcp::socket::wait_read,
-      [State = std::move(State), &Socket,
-       Owner = std::move(Owner)](const boost::system::error_code &Error) {
-        if (Error)
-          return;
-        checkForClose(Socket, *State);
-        if (State->m_Closed && State->m_OnClose)
-          State->m_OnClose();
-      });
+      asio::bind_cancellation_slot(
+          m_Cancel.slot(),
+          [Self = shared_from_this(),
+           Owner = std::move(Owner)](const boost::system::error_code &Error) {
+            Self->m_Cancel.slot().clear();
+            // The wait may have completed before it was cancelled.
+            if (Error || Self->m_Ended)
+              return;
+            checkForClose(Self->m_Socket, *Self->m_State);
+            if (Self->m_State->m_Closed && Self->m_State->m_OnClose)
+              Self->m_State->m_OnClose();
+          }));
+}
+
+void CloseWatch::end() {
+  m_Ended = true;
+  m_Cancel.emit(asio::cancellation_type::terminal);
 }
 
 bool hasNoBody(int Status) {
@@ -145,6 +178,10 @@
 
 } // namespace
 
+std::string_view requestStageName(RequestStage Value) {
+  return StageNames[static_cast<std::size_t>(Value)];
+}
+
 void Cancellation::cancel() {
   m_Cancelled = true;
   if (auto Hook = std::exchange(m_Hook, nullptr))
@@ -204,13 +241,26 @@
   bool m_WriteBlocked = false;        // A write waits for the client to read.
   std::function<void()> m_OnWritable; // Called when such a write has ended.
   std::string m_PeerIp;
-  bool m_RequestInProgress = false;
+  std::vector<const ReceivedRequest *> m_Requests; // In the order of reading.
+  // Of the request that handle() runs. Null while it runs none.
+  std::shared_ptr<CloseWatch> m_CloseWatch;
   // The connection exceeds a connection limit; its first request is refused.
   bool m_OverLimit = false;
 };
 
-// A request, and why it could not be read.
+// A request, and why it could not be read. Its connection lists it while it
+// exists.
 struct HttpServer::ReceivedRequest {
+  explicit ReceivedRequest(ConnectionPtr Client) : m_Client(std::move(Client)) {
+    m_Client->m_Requests.push_back(this);
+  }
+  ~ReceivedRequest() { std::erase(m_Client->m_Requests, this); }
+  ReceivedRequest(const ReceivedRequest &) = delete;
+  ReceivedRequest &operator=(const ReceivedRequest &) = delete;
+
+  ConnectionPtr m_Client;
+  RequestStage m_Stage = RequestStage::Head;
+  Time m_BegunAt = now(); // When its first byte was read.
   std::shared_ptr<RequestParser> m_Parser;
   boost::system::error_code m_Error;
   bool m_BuffersFull = false;
@@ -219,6 +269,54 @@
   std::optional<BufferedBytes> m_Head;     // Counts all else of the request.
 };
 
+// The connections of a server. Coroutines that end after the server share it.
+struct HttpServer::ConnectionTable {
+  std::set<ConnectionPtr> m_Open;
+  std::map<std::string, int> m_OpenPerIp;
+  int m_ClosingRefused = 0; // Refused connections that are not closed yet.
+  int m_AcceptLoops = 0;    // May hold a connection that is not listed yet.
+};
+
+// Lists a connection while it exists.
+class HttpServer::ConnectionScope {
+public:
+  ConnectionScope(std::shared_ptr<ConnectionTable> Table, ConnectionPtr Client)
+      : m_Table(std::move(Table)), m_Client(std::move(Client)) {
+    m_Table->m_Open.insert(m_Client);
+    ++m_Table->m_OpenPerIp[m_Client->m_PeerIp];
+  }
+  ~ConnectionScope() {
+    m_Table->m_Open.erase(m_Client);
+    auto Count = m_Table->m_OpenPerIp.find(m_Client->m_PeerIp);
+    if (--Count->second == 0)
+      m_Table->m_OpenPerIp.erase(Count);
+  }
+  ConnectionScope(const ConnectionScope &) = delete;
+  ConnectionScope &operator=(const ConnectionScope &) = delete;
+  const ConnectionPtr &client() const { return m_Client; }
+
+private:
+  std::shared_ptr<ConnectionTable> m_Table;
+  ConnectionPtr m_Client;
+};
+
+// Counts something in a server's table of connections while it exists.
+class HttpServer::CountScope {
+public:
+  CountScope(std::shared_ptr<ConnectionTable> Table,
+             int ConnectionTable::*Counter)
+      : m_Table(std::move(Table)), m_Counter(Counter) {
+    ++(*m_Table.*m_Counter);
+  }
+  ~CountScope() { --(*m_Table.*m_Counter); }
+  CountScope(const CountScope &) = delete;
+  CountScope &operator=(const CountScope &) = delete;
+
+private:
+  std::shared_ptr<ConnectionTable> m_Table;
+  int ConnectionTable::*m_Counter;
+};
+
 // Serves one connection whose client sends further requests before the first
 // response. Requests without a body run side by side; responses are written in
 // the order of their requests.
@@ -348,7 +446,6 @@
     EntryPtr Item = m_Entries.front();
     bool Reusable = co_await writeResponse(Item);
     m_Entries.pop_front();
-    m_Client->m_RequestInProgress = !m_Entries.empty() || m_ReadsRequest;
     if (!Reusable)
       break;
     if (m_Entries.empty() && !m_ReadsRequest)
@@ -374,27 +471,22 @@
   bool HasWholeBody = !Item->m_Received->m_Error && Parser.is_done();
   bool Closes = !HasWholeBody || !Parser.keep_alive() ||
                 Item->m_Response.m_CloseConnection;
-  if (Closes)
-    stopReading();
-  while (Closes && m_IsReading)
-    co_await waitForChange();
   bool EndsPlanned = false;
   if (!Closes && m_Server.isStopping())
     EndsPlanned = co_await endsPlanned();
-  // The reader may be waiting to read on, but the connection's end reads as
-  // well.
-  if (EndsPlanned)
+  auto IsLast = [&] {
+    return Closes || EndsPlanned || (m_StopReading && m_Entries.size() == 1);
+  };
+  // The end of the connection reads as well.
+  if (IsLast())
     stopReading();
-  while (EndsPlanned && m_IsReading)
+  while (IsLast() && m_IsReading)
     co_await waitForChange();
-  bool IsLast = m_Entries.size() == 1;
-  bool KeepAlive = !Closes && !EndsPlanned && !(m_StopReading && IsLast);
-  // The client may still be sending, which requires a lingering close.
-  if (!HasWholeBody || EndsPlanned)
-    Item->m_Response.m_CloseConnection = true;
+  bool KeepAlive = !IsLast();
   bool IsHead = Parser.get().method() == http::verb::head;
-  co_return co_await m_Server.respond(m_Client, std::move(Item->m_Response),
-                                      KeepAlive, IsHead, Item->m_RequestBody);
+  co_return co_await m_Server.respond(m_Client, *Item->m_Received,
+                                      std::move(Item->m_Response), KeepAlive,
+                                      IsHead, Item->m_RequestBody);
 }
 
 asio::awaitable<bool> HttpServer::Pipeline::endsPlanned() {
@@ -478,9 +570,8 @@
   }
   if (m_StopReading)
     co_return false;
-  m_Client->m_RequestInProgress = true;
   m_ReadsRequest = true;
-  auto Received = std::make_shared<ReceivedRequest>();
+  auto Received = std::make_shared<ReceivedRequest>(m_Client);
   Stream.expires_never();
   setReadTimeout(m_Server.m_Limits.m_HeaderTimeout);
   m_ReadsSocket = true;
@@ -496,6 +587,7 @@
       !m_Server.m_Reachability.allows(m_Client->m_PeerIp))
     co_return false;
   bool HasBody = !Received->m_Error && !Received->m_Parser->is_done();
+  Received->m_Stage = RequestStage::Waiting;
   while ((HasBody || m_Client->m_WriteBlocked) && !m_Entries.empty() &&
          !m_StopReading)
     co_await waitUnread();
@@ -510,6 +602,7 @@
     if (!Refusal)
       co_return false;
     Item->m_Response = std::move(*Refusal);
+    Received->m_Stage = RequestStage::Ready;
     Item->m_IsDone = true;
     m_Entries.push_back(std::move(Item));
     co_return false;
@@ -525,11 +618,13 @@
         co_await Self->handleEntry(std::move(Started));
       }(shared_from_this(), Item),
       asio::detached);
+  bool IsLast = !Received->m_Parser->keep_alive();
+  Received
+      .reset(); // The entry keeps the request until its response is written.
   // A body is read by its handler; the next request comes after it. Behind a
   // request that ends the connection there is none.
   while (HasBody && !m_Entries.empty() && !m_StopReading)
     co_await waitForChange();
-  bool IsLast = !Received->m_Parser->keep_alive();
   while (IsLast && !m_Entries.empty() && !m_StopReading)
     co_await waitUnread();
   co_return !m_StopReading && !IsLast;
@@ -542,6 +637,7 @@
   // clients have disconnected.
   if (!HasBody && hasPeerClosed(m_Client->m_Stream.socket()))
     Item->m_State->m_Closed = true;
+  Item->m_Received->m_Stage = RequestStage::Running;
   if (HasBody)
     Item->m_Response = co_await m_Server.handle(m_Client, std::move(Request));
   else
@@ -552,6 +648,7 @@
     Response.m_Buffered = std::make_shared<BufferedBytes>(Budget);
     Response.m_Buffered->set(Response.m_Body.size());
   }
+  Item->m_Received->m_Stage = RequestStage::Ready;
   Item->m_IsDone = true;
   notify();
 }
@@ -559,7 +656,8 @@
 HttpServer::HttpServer(asio::io_context &Io, const Reachability &Reach,
                        HttpServerLimits Limits, HttpHandler Handler)
     : m_Io(Io), m_Reachability(Reach), m_Limits(std::move(Limits)),
-      m_Handler(std::move(Handler)), m_Acceptor(Io) {}
+      m_Handler(std::move(Handler)), m_Acceptor(Io),
+      m_Connections(std::make_shared<ConnectionTable>()) {}
 
 Result<std::uint16_t> HttpServer::start(const std::string &Ip,
                                         std::uint16_t Port) {
@@ -578,7 +676,9 @@
     return rhubarb::Error{ErrorKind::Internal, "cannot listen on " + Ip + ":" +
                                                    std::to_string(Port) + ": " +
                                                    Error.message()};
-  asio::co_spawn(m_Io, acceptLoop(), asio::detached);
+  auto Accepting = std::make_unique<CountScope>(
+      m_Connections, &ConnectionTable::m_AcceptLoops);
+  asio::co_spawn(m_Io, acceptLoop(std::move(Accepting)), asio::detached);
   return m_Acceptor.local_endpoint().port();
 }
 
@@ -600,12 +700,14 @@
       admit(std::move(Socket));
   }
   m_Acceptor.close(Error);
-  for (const auto &Client : m_Connections)
-    if (!Client->m_RequestInProgress)
+  for (const ConnectionPtr &Client : m_Connections->m_Open)
+    if (Client->m_Requests.empty())
       Client->m_Stream.cancel();
 }
 
-asio::awaitable<void> HttpServer::acceptLoop() {
+asio::awaitable<void>
+HttpServer::acceptLoop(std::unique_ptr<CountScope> Scope) {
+  const auto Counted = std::move(Scope);
   while (!m_Stopping) {
     auto [Error, Socket] = co_await m_Acceptor.async_accept(Await);
     if (Error && m_Stopping)
@@ -616,7 +718,8 @@
       continue;
     }
     admit(std::move(Socket));
-    while (m_ClosingRefused >= MaxClosingRefused && !m_Stopping) {
+    while (m_Connections->m_ClosingRefused >= MaxClosingRefused &&
+           !m_Stopping) {
       asio::steady_timer Pause(m_Io, AcceptRetryDelay);
       co_await Pause.async_wait(Await);
     }
@@ -634,7 +737,12 @@
   if (Budget &&
       Budget->leftBytes() < Needed + bytesKeptFree(BudgetKeepDivisor)) {
     reportRefusal(ErrorKind::BuffersFull);
-    asio::co_spawn(m_Io, refuseConnection(std::move(Socket)), asio::detached);
+    asio::co_spawn(m_Io,
+                   refuseConnection(
+                       std::move(Socket),
+                       std::make_unique<CountScope>(
+                           m_Connections, &ConnectionTable::m_ClosingRefused)),
+                   asio::detached);
     return;
   }
   auto Client = std::make_shared<Connection>(
@@ -642,16 +750,19 @@
       std::max(MaxUnparsedBytes, m_Limits.m_MaxHeaderBytes + ReadAheadBytes),
       Budget, bytesKeptFree(RequestKeepDivisor));
   Client->m_PeerIp = Peer.address().to_string();
-  asio::co_spawn(m_Io, serveConnection(std::move(Client)), asio::detached);
+  auto SameIp = m_Connections->m_OpenPerIp.find(Client->m_PeerIp);
+  Client->m_OverLimit = connections() >= m_Limits.m_MaxConnections ||
+                        (SameIp != m_Connections->m_OpenPerIp.end() &&
+                         SameIp->second >= m_Limits.m_MaxConnectionsPerIp);
+  asio::co_spawn(
+      m_Io,
+      serveConnection(std::make_unique<ConnectionScope>(m_Connections, Client)),
+      asio::detached);
 }
 
-asio::awaitable<void> HttpServer::serveConnection(ConnectionPtr Client) {
-  int &ConnectionsFromIp = m_ConnectionsPerIp[Client->m_PeerIp];
-  Client->m_OverLimit =
-      static_cast<int>(m_Connections.size()) >= m_Limits.m_MaxConnections ||
-      ConnectionsFromIp >= m_Limits.m_MaxConnectionsPerIp;
-  ++ConnectionsFromIp;
-  m_Connections.insert(Client);
+asio::awaitable<void>
+HttpServer::serveConnection(std::unique_ptr<ConnectionScope> Scope) {
+  const ConnectionPtr Client = Scope->client();
   if (m_Limits.m_MaxPipelinedRequests > 1) {
     auto Requests = std::make_shared<Pipeline>(*this, Client);
     co_await Requests->run();
@@ -661,14 +772,14 @@
     bool KeepAlive = co_await serveRequest(Client);
     if (!KeepAlive)
       break;
-    Client->m_RequestInProgress = false;
   }
   boost::system::error_code Ignored;
   Client->m_Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
-  m_Connections.erase(Client);
-  auto Count = m_ConnectionsPerIp.find(Client->m_PeerIp);
-  if (--Count->second == 0)
-    m_ConnectionsPerIp.erase(Count);
+  // Closing now would reset the connection under the last response.
+  if (Client->hasUnreadBytes())
+    co_await lingeringClose(Client);
+  // Whoever reads the body of a request still would keep the socket open.
+  Client->m_Stream.close();
 }
 
 asio::awaitable<void>
@@ -698,6 +809,7 @@
   beast::tcp_stream &Stream = Client->m_Stream;
   RequestParser &Parser = *Into->m_Parser;
   boost::system::error_code &Error = Into->m_Error;
+  Into->m_Stage = RequestStage::Body;
   if (Into->m_BuffersFull)
     co_return; // Refused before its body is read.
   if (!Error && !Parser.is_done() &&
@@ -747,8 +859,8 @@
       State->m_Closed = true;
       if (State->m_OnClose)
         State->m_OnClose();
-    } else if (Fragment.m_Last) {
-      watchForClose(Client->m_Stream.socket(), State, Client);
+    } else if (Fragment.m_Last && Client->m_CloseWatch) {
+      Client->m_CloseWatch->begin(Client);
     }
     co_return Fragment;
   };
@@ -789,8 +901,7 @@
     Client->m_Buffer.commit(Bytes);
   }
   // From here on, stopAccepting() lets the request finish.
-  Client->m_RequestInProgress = true;
-  auto Received = std::make_shared<ReceivedRequest>();
+  auto Received = std::make_shared<ReceivedRequest>(Client);
   Stream.expires_after(m_Limits.m_HeaderTimeout);
   co_await receiveHead(Client, Received);
   // Clients behind a simulated partition get no response.
@@ -801,7 +912,8 @@
     std::optional<HttpResponse> Refusal = refusalOf(*Client, *Received);
     if (!Refusal)
       co_return false;
-    bool Ignored = co_await respond(Client, std::move(*Refusal), false, false);
+    bool Ignored =
+        co_await respond(Client, *Received, std::move(*Refusal), false, false);
     // The connection is closed whatever respond() returns.
     co_return Ignored && false;
   }
@@ -809,6 +921,7 @@
   bool IsHead = Parser->get().method() == http::verb::head;
   bool KeepAlive = Parser->get().keep_alive();
   BodyStreamPtr RequestBody = Received->m_Request.m_BodyStream;
+  Received->m_Stage = RequestStage::Running;
   HttpResponse Response =
       co_await handle(Client, std::move(Received->m_Request));
   // The partition may have begun while the request was handled.
@@ -817,48 +930,45 @@
   bool EndsPlanned = isStopping() && !mayReadOn(*Client);
   KeepAlive = KeepAlive && Parser->is_done() && !EndsPlanned &&
               !Response.m_CloseConnection;
-  // The client may still be sending, which requires a lingering close.
-  if (!Parser->is_done() || EndsPlanned)
-    Response.m_CloseConnection = true;
-  co_return co_await respond(Client, std::move(Response), KeepAlive, IsHead,
-                             std::move(RequestBody));
+  co_return co_await respond(Client, *Received, std::move(Response), KeepAlive,
+                             IsHead, std::move(RequestBody));
 }
 
 // Runs the handler while watching for the client to disconnect.
 asio::awaitable<HttpResponse> HttpServer::handle(ConnectionPtr Client,
                                                  HttpRequest Request) {
   Client->m_Stream.expires_never();
+  Client->m_CloseWatch =
+      std::make_shared<CloseWatch>(Client->m_Stream.socket(), Request.m_Client);
   if (!Request.m_BodyStream) {
     // A process that was starved of CPU may read requests long after their
     // clients have disconnected.
     checkForClose(Client->m_Stream.socket(), *Request.m_Client);
-    watchForClose(Client->m_Stream.socket(), Request.m_Client, Client);
+    Client->m_CloseWatch->begin(Client);
   }
   HttpResponse Response = co_await runHandler(std::move(Request));
-  boost::system::error_code Ignored;
-  Client->m_Stream.socket().cancel(Ignored); // Stops watching for a disconnect.
+  std::exchange(Client->m_CloseWatch, nullptr)->end();
   co_return Response;
 }
 
 asio::awaitable<HttpResponse> HttpServer::runHandler(HttpRequest Request) {
   HttpResponse Response;
-  ++m_ActiveRequests;
   try {
     Response = co_await m_Handler(std::move(Request));
   } catch (const std::exception &Exception) {
     Response = errorResponse(ErrorKind::Internal, Exception.what());
   }
-  --m_ActiveRequests;
   co_return Response;
 }
 
-// Writes a response. Returns whether the connection can be reused.
 asio::awaitable<bool> HttpServer::respond(ConnectionPtr Client,
+                                          ReceivedRequest &To,
                                           HttpResponse Response, bool KeepAlive,
                                           bool IsHead,
                                           BodyStreamPtr RequestBody) {
   if (Response.m_AbortConnection)
     co_return false;
+  To.m_Stage = RequestStage::Writing;
   beast::tcp_stream &Stream = Client->m_Stream;
   bool Chunked = false;
   std::string Text = responseHead(Response, KeepAlive, IsHead, Chunked);
@@ -877,7 +987,6 @@
     Unwritten.set(Text.capacity() + FirstFragment.m_Bytes.capacity());
     Response.m_Buffered.reset(); // Counted the same bytes.
   }
-  ++m_ActiveRequests; // The request is active until its response is written.
   Stream.expires_after(m_Limits.m_WriteTimeout);
   boost::system::error_code Error;
   std::size_t Sent = writeWithoutBlocking(Stream.socket(), Text, Error);
@@ -909,16 +1018,19 @@
     if (Fragment.m_Last)
       break;
   }
-  if (!Error && Response.m_CloseConnection) {
+  // Bytes that arrive behind the last request would reset the connection under
+  // the response if they were still unread when it closes.
+  bool IsLast = !KeepAlive || Response.m_CloseConnection;
+  if (!Error && IsLast) {
+    To.m_Stage = RequestStage::Closing;
     boost::system::error_code Ignored;
     Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
     if (RequestBody)
       co_await waitForBodyReader(Client, std::move(RequestBody));
   }
-  --m_ActiveRequests;
-  if (!Error && Response.m_CloseConnection)
+  if (!Error && IsLast)
     co_await lingeringClose(Client);
-  co_return KeepAlive && !Error;
+  co_return !IsLast && !Error;
 }
 
 // Waits until nobody reads the body of a request that was answered early. A
@@ -939,14 +1051,53 @@
   }
 }
 
-bool HttpServer::hasRequests() const {
-  return m_ActiveRequests > 0 ||
-         std::any_of(m_Connections.begin(), m_Connections.end(),
-                     [this](const ConnectionPtr &Client) {
-                       return Client->hasUnreadBytes() && mayReadOn(*Client);
+bool HttpServer::hasConnections() const {
+  const ConnectionTable &Table = *m_Connections;
+  if (Table.m_AcceptLoops > 0 || Table.m_ClosingRefused > 0)
+    return true;
+  if (!m_Stopping || now() < m_StoppingSince + IncompleteReadDuration)
+    return !Table.m_Open.empty();
+  auto IsIncomplete = [](const ReceivedRequest *Row) {
+    return Row->m_Stage == RequestStage::Head ||
+           Row->m_Stage == RequestStage::Body;
+  };
+  return std::any_of(Table.m_Open.begin(), Table.m_Open.end(),
+                     [&](const ConnectionPtr &Client) {
+                       return Client->m_Requests.empty() ||
+                              !std::all_of(Client->m_Requests.begin(),
+                                           Client->m_Requests.end(),
+                                           IsIncomplete);
                      });
 }
 
+int HttpServer::connections() const {
+  return static_cast<int>(m_Connections->m_Open.size());
+}
+
+std::vector<OpenRequest> HttpServer::openRequests() const {
+  std::vector<OpenRequest> Open;
+  for (const ConnectionPtr &Client : m_Connections->m_Open)
+    for (const ReceivedRequest *Row : Client->m_Requests) {
+      OpenRequest &Request = Open.emplace_back();
+      Request.m_Stage = Row->m_Stage;
+      Request.m_Age = now() - Row->m_BegunAt;
+      Request.m_PeerIp = Client->m_PeerIp;
+      if (!Row->m_Parser || !Row->m_Parser->is_header_done())
+        continue;
+      Request.m_Target = Row->m_Parser->get().target();
+      Request.m_Headers = copyHeaders(Row->m_Parser->get());
+    }
+  return Open;
+}
+
+int HttpServer::unreadConnections() const {
+  return static_cast<int>(std::count_if(
+      m_Connections->m_Open.begin(), m_Connections->m_Open.end(),
+      [](const ConnectionPtr &Client) {
+        return Client->m_Requests.empty() && Client->hasUnreadBytes();
+      }));
+}
+
 bool HttpServer::mayReadOn(Connection &Client) const {
   if (!isStopping())
     return true;
@@ -966,8 +1117,10 @@
 
 // The response is sent before the request is read, as reading it takes memory.
 // It is true: nothing of the request has run.
-asio::awaitable<void> HttpServer::refuseConnection(tcp::socket Socket) {
-  ++m_ClosingRefused;
+asio::awaitable<void>
+HttpServer::refuseConnection(tcp::socket Socket,
+                             std::unique_ptr<CountScope> Scope) {
+  const auto Counted = std::move(Scope);
   beast::tcp_stream Stream(std::move(Socket));
   boost::system::error_code Error;
   auto Peer = Stream.socket().remote_endpoint(Error);
@@ -988,7 +1141,6 @@
       Reads = !ReadError;
     }
   }
-  --m_ClosingRefused;
 }
 
 // Reads until the client closes the connection or a limit is reached.
--- a/tools/rhubarb-node/Node.cpp
+++ b/tools/rhubarb-node/Node.cpp
@@ -273,19 +273,66 @@
     co_await sleepFor(TickInterval);
   m_CallerServer.stopAccepting();
   m_DetourServer.stopAccepting();
-  auto UnderWay = [this] {
-    return m_CallerServer.activeRequests() + m_DetourServer.activeRequests();
-  };
-  // Requests that arrived with the stop start only after it.
-  do
-    co_await sleepFor(TickInterval);
-  while (now() < End &&
-         (m_CallerServer.hasRequests() || m_DetourServer.hasRequests()));
-  logEvent(Severity::Info, "drained",
-           {{"under_way", std::to_string(UnderWay())}});
+  logOpenRequests("port_closed");
+  const std::vector<HttpServer *> Carrying{&m_CallerServer, &m_DetourServer};
+  co_await waitForConnections(Carrying, End);
+  logOpenRequests("drained");
+  // Until here look-ups and readiness have told callers to leave, and peers
+  // have been served.
+  const std::vector<HttpServer *> Others{&m_LookupServer, &m_ReadyServer,
+                                         &m_PeerServer, &m_MetricsServer};
+  for (HttpServer *Server : Others)
+    Server->stopAccepting();
+  co_await waitForConnections(Others, End);
+  logCutRequests();
   m_Stopped = true;
 }
 
+void Node::logCutRequests() const {
+  struct Row {
+    const HttpServer &m_Server;
+    const char *m_Port;
+  };
+  for (const Row &Each :
+       {Row{m_CallerServer, "callers"}, Row{m_DetourServer, "detours"},
+        Row{m_LookupServer, "look-ups"}, Row{m_ReadyServer, "readiness"},
+        Row{m_PeerServer, "peers"}, Row{m_MetricsServer, "metrics"}})
+    for (const OpenRequest &Cut : Each.m_Server.openRequests())
+      logEvent(Severity::Warning, "request_cut",
+               {{"id", std::string(findHeader(Cut.m_Headers,
+                                              m_HeaderNames.m_RequestId))},
+                {"port", Each.m_Port},
+                {"peer", Cut.m_PeerIp},
+                {"target", Cut.m_Target},
+                {"stage", std::string(requestStageName(Cut.m_Stage))},
+                {"ms", std::to_string(Cut.m_Age / 1ms)}});
+}
+
+void Node::logOpenRequests(std::string_view Event) const {
+  std::map<RequestStage, int> Stages;
+  int UnderWay = 0;
+  int Connections = 0;
+  int Unread = 0;
+  for (const HttpServer *Server : {&m_CallerServer, &m_DetourServer}) {
+    for (const OpenRequest &Open : Server->openRequests()) {
+      ++Stages[Open.m_Stage];
+      ++UnderWay;
+    }
+    Connections += Server->connections();
+    Unread += Server->unreadConnections();
+  }
+  std::string Text;
+  for (auto [Stage, Count] : Stages)
+    Text += (Text.empty() ? "" : ",") + std::string(requestStageName(Stage)) +
+            ":" + std::to_string(Count);
+  logEvent(Severity::Info, Event,
+           {{"under_way", std::to_string(UnderWay)},
+            {"stages", Text},
+            {"connections", std::to_string(Connections)},
+            {"unread", std::to_string(Unread)},
+            {"after_ms", std::to_string((now() - m_LeavingSince) / 1ms)}});
+}
+
 std::vector<std::string> Node::applySettings(const NodeSettings &Next) {
   std::vector<std::string> NeedRestart;
   if (Next.m_Ip != m_Settings.m_Ip || Next.m_Domain != m_Settings.m_Domain ||
