A request is incomplete at a stop once its bytes have been missing for a second

Found by the rows for responses that wait for their reader: at depth 1 a whole request behind such a response was in the stage "head" for one turn of the event loop, more than 1 s after the port had closed, and `hasConnections` took it for incomplete (1 of 2 answered; an upload at depth 8 likewise, in the stage "body").

Change: the second is counted from the beginning of the stage.

--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -258,8 +258,21 @@
   ReceivedRequest(const ReceivedRequest &) = delete;
   ReceivedRequest &operator=(const ReceivedRequest &) = delete;
 
+  void enter(RequestStage Stage) {
+    m_Stage = Stage;
+    m_StageBegunAt = now();
+  }
+  // Whether bytes of the request that its handler needs are missing, and have
+  // been for so long.
+  bool isIncompleteFor(Duration Length) const {
+    bool IsRead =
+        m_Stage == RequestStage::Head || m_Stage == RequestStage::Body;
+    return IsRead && now() - m_StageBegunAt >= Length;
+  }
+
   ConnectionPtr m_Client;
   RequestStage m_Stage = RequestStage::Head;
+  Time m_StageBegunAt = now();
   Time m_BegunAt = now(); // When its first byte was read.
   std::shared_ptr<RequestParser> m_Parser;
   boost::system::error_code m_Error;
@@ -587,7 +600,7 @@
       !m_Server.m_Reachability.allows(m_Client->m_PeerIp))
     co_return false;
   bool HasBody = !Received->m_Error && !Received->m_Parser->is_done();
-  Received->m_Stage = RequestStage::Waiting;
+  Received->enter(RequestStage::Waiting);
   while ((HasBody || m_Client->m_WriteBlocked) && !m_Entries.empty() &&
          !m_StopReading)
     co_await waitUnread();
@@ -602,7 +615,7 @@
     if (!Refusal)
       co_return false;
     Item->m_Response = std::move(*Refusal);
-    Received->m_Stage = RequestStage::Ready;
+    Received->enter(RequestStage::Ready);
     Item->m_IsDone = true;
     m_Entries.push_back(std::move(Item));
     co_return false;
@@ -637,7 +650,7 @@
   // clients have disconnected.
   if (!HasBody && hasPeerClosed(m_Client->m_Stream.socket()))
     Item->m_State->m_Closed = true;
-  Item->m_Received->m_Stage = RequestStage::Running;
+  Item->m_Received->enter(RequestStage::Running);
   if (HasBody)
     Item->m_Response = co_await m_Server.handle(m_Client, std::move(Request));
   else
@@ -648,7 +661,7 @@
     Response.m_Buffered = std::make_shared<BufferedBytes>(Budget);
     Response.m_Buffered->set(Response.m_Body.size());
   }
-  Item->m_Received->m_Stage = RequestStage::Ready;
+  Item->m_Received->enter(RequestStage::Ready);
   Item->m_IsDone = true;
   notify();
 }
@@ -809,7 +822,7 @@
   beast::tcp_stream &Stream = Client->m_Stream;
   RequestParser &Parser = *Into->m_Parser;
   boost::system::error_code &Error = Into->m_Error;
-  Into->m_Stage = RequestStage::Body;
+  Into->enter(RequestStage::Body);
   if (Into->m_BuffersFull)
     co_return; // Refused before its body is read.
   if (!Error && !Parser.is_done() &&
@@ -921,7 +934,7 @@
   bool IsHead = Parser->get().method() == http::verb::head;
   bool KeepAlive = Parser->get().keep_alive();
   BodyStreamPtr RequestBody = Received->m_Request.m_BodyStream;
-  Received->m_Stage = RequestStage::Running;
+  Received->enter(RequestStage::Running);
   HttpResponse Response =
       co_await handle(Client, std::move(Received->m_Request));
   // The partition may have begun while the request was handled.
@@ -968,7 +981,7 @@
                                           BodyStreamPtr RequestBody) {
   if (Response.m_AbortConnection)
     co_return false;
-  To.m_Stage = RequestStage::Writing;
+  To.enter(RequestStage::Writing);
   beast::tcp_stream &Stream = Client->m_Stream;
   bool Chunked = false;
   std::string Text = responseHead(Response, KeepAlive, IsHead, Chunked);
@@ -1022,7 +1035,7 @@
   // the response if they were still unread when it closes.
   bool IsLast = !KeepAlive || Response.m_CloseConnection;
   if (!Error && IsLast) {
-    To.m_Stage = RequestStage::Closing;
+    To.enter(RequestStage::Closing);
     boost::system::error_code Ignored;
     Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
     if (RequestBody)
@@ -1058,8 +1071,7 @@
   if (!m_Stopping || now() < m_StoppingSince + IncompleteReadDuration)
     return !Table.m_Open.empty();
   auto IsIncomplete = [](const ReceivedRequest *Row) {
-    return Row->m_Stage == RequestStage::Head ||
-           Row->m_Stage == RequestStage::Body;
+    return Row->isIncompleteFor(IncompleteReadDuration);
   };
   return std::any_of(Table.m_Open.begin(), Table.m_Open.end(),
                      [&](const ConnectionPtr &Client) {
