Soak: a request that a kill of its node cuts is no loss of its planned stop

The check of planned stops took each request that was cut within the grace of a stop for lost, also one that a SIGKILL cut after the node had started again. The users' rule counts a loss only without unplanned disruption before the end of the request.

Change: the site records each kill, and an attempt during which its node was killed is not counted. Nothing else is excused: the window is the attempt itself.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -212,6 +212,7 @@
   };
   if (Name == "node_kill") {
     m_Nodes.signal(Index, SIGKILL);
+    m_Site.addKill(Index);
     Disturb(Index, RestartTime);
   } else if (Name == "node_term_together" && m_EndingTogether.contains(Index)) {
     co_return;
@@ -226,6 +227,7 @@
   } else if (Name == "herd_kill") {
     for (std::size_t I = 0; I < m_Nodes.size(); ++I) {
       m_Nodes.signal(I, SIGKILL);
+      m_Site.addKill(I);
       Disturb(I, RestartTime);
     }
   } else {
@@ -374,6 +376,7 @@
   m_Site.restoreStore(CopyAge, OlderFor);
   std::size_t Index = m_Random.below(m_Nodes.size());
   m_Nodes.signal(Index, SIGKILL);
+  m_Site.addKill(Index);
   m_Site.addNodeDisturbance(Index, now(), now() + RestartTime);
 }
 
--- a/standins/site/Site.h
+++ b/standins/site/Site.h
@@ -112,6 +112,9 @@
   }
   // Records that a node was told to stop, perhaps again.
   void addPlannedStop(std::size_t Node);
+  // Records that a node was killed. What that cuts is no loss of a planned
+  // stop.
+  void addKill(std::size_t Node);
   // Requires each server to get at least this share of the rate that it names.
   void setMinLimitUse(double Share) { m_MinLimitUse = Share; }
   // Expires leases, stops replaced servers once their time is over and renews
@@ -133,6 +136,7 @@
   void verifyConfig(std::vector<std::string> &Violations) const;
   void verifyEvacuations(std::vector<std::string> &Violations) const;
   std::string lostText(const CallTry &Try, Time StopAt) const;
+  bool wasCutByKill(const CallTry &Try) const;
   void verifyPlannedStops(std::vector<std::string> &Violations) const;
   void verifyCuts(std::vector<std::string> &Violations) const;
   void verifyDeadlyCalls(std::vector<std::string> &Violations) const;
@@ -153,6 +157,7 @@
   // Keyed by the node's IP address.
   std::multimap<std::string, std::pair<Time, Time>> m_NodeDisturbances;
   std::multimap<std::string, Time> m_PlannedStops;
+  std::multimap<std::string, Time> m_Kills;
   double m_MinLimitUse = 0;
   // Time at which a replaced server stops, by server index; 0 if it is not
   // being replaced.
