--- a/net/HttpServer.cpp
+++ b/net/HttpServer.cpp
@@ -34,8 +34,8 @@
 // For this long after stopAccepting() requests that have arrived are still
 // read.
 constexpr Duration ReadOnDuration = 2s;
-// Requests that are incomplete this long after stopAccepting() hold the process
-// no longer: a client that has stopped sending would keep it from ending.
+// After stopAccepting() a request whose bytes have been missing for this long
+// holds the process no longer: its client may have stopped sending.
 constexpr Duration IncompleteReadDuration = 1s;
 // While a connection is not read, an end of it is looked for this often.
 constexpr Duration CloseCheckInterval = 200ms;
@@ -632,8 +632,7 @@
       }(shared_from_this(), Item),
       asio::detached);
   bool IsLast = !Received->m_Parser->keep_alive();
-  Received
-      .reset(); // The entry keeps the request until its response is written.
+  Received.reset(); // Its entry keeps it.
   // A body is read by its handler; the next request comes after it. Behind a
   // request that ends the connection there is none.
   while (HasBody && !m_Entries.empty() && !m_StopReading)
