Tests: the arguments of the daemon are reserved, as the linter asks

Found by the linter on the merged code (performance-inefficient-vector-operation), its only finding.

--- a/test/ProcessStopTest.cpp
+++ b/test/ProcessStopTest.cpp
@@ -221,6 +221,7 @@
                                  "--set=operator.ip=" + Ip,
                                  "--set=operator.port=" + port(OperatorPort)};
   std::vector<char *> Arguments;
+  Arguments.reserve(Texts.size());
   for (std::string &Text : Texts)
     Arguments.push_back(Text.data());
   ProgramInfo Info{"daemon", "a daemon of a test", {}};
